--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -138,6 +138,8 @@
   7: required string resource             // resource type, e.g. "gpu-large"
   8: required double resource_units
   9: required bool leaving
+  10: optional i32 slots                  // requests it runs at once, if the list says so
+  11: optional i64 cold_ms                // left of its slow start when the list was read
 }
 struct ReplicasBody {
   1: required list<ListedReplica> replicas
@@ -224,6 +226,7 @@
   3: required binary body                 // whole JSON document, or a JSON merge patch
   4: required bool is_patch
   5: required i64 base_version            // for patches; 0 for whole documents
+  6: optional bool base_required          // a whole document, too, is taken only on base_version
 }
 struct SubmitChangeAnswer {
   1: required string outcome              // "accepted", "conflict", "invalid", "not_primary", "unavailable", "unknown"
--- a/rooklug/core/changes.py
+++ b/rooklug/core/changes.py
@@ -151,7 +151,8 @@
         request = submission.request
         if isinstance(request, SetZoneRequest):
             return self._ledger.judge_zone(submission.zone_change)
-        base_version = request.base_version if request.is_patch else None
+        rests_on_base = request.is_patch or request.base_required
+        base_version = request.base_version if rests_on_base else None
         return self._ledger.judge_change(request.version, request.digest, base_version)
 
     def _decided(self, submission: Submission, judgement: Judgement) -> bool:
--- a/rooklug/engine/composite.py
+++ b/rooklug/engine/composite.py
@@ -30,7 +30,8 @@
 class Part(Protocol):
     """One job inside a role.
 
-    ``name`` is unique in the process. ``http_prefixes`` are the HTTP paths it serves,
+    ``name`` is unique in the process. ``http_prefixes`` are the HTTP paths it serves on the
+    main listener, ``http_listeners`` the named listeners whose every request it serves,
     ``head_first_paths`` those of them announced from the head alone, ``call_types`` the
     thrift requests it answers, ``notice_types`` the notices it listens for.
     Every part gets ``Started`` and ``StopRequested``.
@@ -38,6 +39,7 @@
 
     name: str
     http_prefixes: tuple[str, ...]
+    http_listeners: tuple[str, ...]
     head_first_paths: tuple[str, ...]
     call_types: tuple[type, ...]
     notice_types: tuple[type, ...]
@@ -56,6 +58,7 @@
 
     name = ""
     http_prefixes: tuple[str, ...] = ()
+    http_listeners: tuple[str, ...] = ()
     head_first_paths: tuple[str, ...] = ()
     call_types: tuple[type, ...] = ()
     notice_types: tuple[type, ...] = ()
@@ -85,6 +88,9 @@
             ((prefix, part) for part in self.parts.values() for prefix in part.http_prefixes),
             key=lambda entry: -len(entry[0]),
         )
+        self._by_listener = {
+            listener: part for part in self.parts.values() for listener in part.http_listeners
+        }
         self._by_call_type = {
             call_type: part for part in self.parts.values() for call_type in part.call_types
         }
@@ -132,6 +138,10 @@
     def _http_target(
         self, event: ev.HttpRequestArrived, outward: list[fx.Effect]
     ) -> list[tuple[Part, ev.Event]]:
+        if event.listener in self._by_listener:
+            part = self._by_listener[event.listener]
+            self._by_request_id[event.request_id] = part
+            return [(part, event)]
         for prefix, part in self._prefixes:
             if event.path.startswith(prefix):
                 self._by_request_id[event.request_id] = part
--- a/rooklug/engine/events.py
+++ b/rooklug/engine/events.py
@@ -102,7 +102,8 @@
     ``headers`` have lower-case names. A path in the role's ``head_first_paths`` is
     announced from the head alone (``body_withheld`` True, ``body`` empty): the reducer
     answers from the head, or asks for the rest with ``ReadRequestBody`` and then gets
-    ``HttpRequestBody``.
+    ``HttpRequestBody``. ``target`` is the request target as the caller wrote it, and
+    ``listener`` the name of the listening address ("" for the main one).
     """
 
     request_id: int
@@ -113,6 +114,8 @@
     body: bytes
     body_withheld: bool = False
     remote_address: str = ""
+    target: str = ""
+    listener: str = ""
 
 
 @attrs.frozen
--- a/rooklug/front/attempts.py
+++ b/rooklug/front/attempts.py
@@ -1,26 +1,13 @@
 """One try of a request at one replica, and what the executor reports of it."""
 
-from enum import Enum
-
 import attrs
 
+from rooklug.front.outcomes import AttemptOutcome
 from rooklug.front.routing_view import ServingReplica
 from rooklug.front.streams import StreamChecker
 from rooklug.front.verdicts import ServeAt
 
 
-class AttemptOutcome(Enum):
-    """How a try ended, as far as the replica is judged by it."""
-
-    SUCCESS = "success"
-    BUSY = "busy"
-    NOT_LOADED = "not loaded"
-    CONNECT_FAILED = "connect failed"
-    TIMED_OUT = "timed out"
-    BROKEN = "broken"
-    CANCELLED = "cancelled"
-
-
 @attrs.frozen
 class AttemptReport:
     """The end of a try. ``first_piece_s``: from the send to the first piece, None without one."""
--- a/rooklug/front/health.py
+++ b/rooklug/front/health.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from rooklug.front.attempts import AttemptOutcome
+from rooklug.front.outcomes import AttemptOutcome
 
 FIRST_EJECTION_S = 1.0
 LONGEST_EJECTION_S = 5.0
--- /dev/null
+++ b/rooklug/front/outcomes.py
@@ -0,0 +1,15 @@
+"""How a try of a request at one replica ended."""
+
+from enum import Enum
+
+
+class AttemptOutcome(Enum):
+    """How a try ended, as far as the replica is judged by it."""
+
+    SUCCESS = "success"
+    BUSY = "busy"
+    NOT_LOADED = "not loaded"
+    CONNECT_FAILED = "connect failed"
+    TIMED_OUT = "timed out"
+    BROKEN = "broken"
+    CANCELLED = "cancelled"
--- /dev/null
+++ b/rooklug/gateway/build.py
@@ -0,0 +1,75 @@
+"""Composes a gateway front and a gateway core; imports are inside for the sake of memory."""
+
+import attrs
+
+from rooklug.engine.composite import CompositeReducer
+from rooklug.engine.reducer import ProcessContext
+from rooklug.gateway.dialect import ControlDialect, EdgeDialect
+from rooklug.gateway.retry_budget import RetryBudgetSettings
+from rooklug.model.settings import CoreSettings, NodeSettings
+
+
+@attrs.frozen
+class GatewayLimits:
+    """The deployment's bounds that the gateway's parts obey."""
+
+    grace_s: float = 8.0
+    directory_ttl_s: float = 2.0
+    cold_burst_slack: int = 5
+    retry_budget: RetryBudgetSettings = attrs.field(factory=RetryBudgetSettings)
+
+
+def compose_gateway_front(
+    settings: NodeSettings, context: ProcessContext, dialect: EdgeDialect, limits: GatewayLimits
+) -> CompositeReducer:
+    """Return the reducer of a front that passes requests through."""
+    from rooklug.distribution.core_link import CoreLink
+    from rooklug.gateway.cold_gate import ColdGate
+    from rooklug.gateway.decision import Decision
+    from rooklug.gateway.demand import DemandReporter
+    from rooklug.gateway.directory import Directory
+    from rooklug.gateway.executor import GatewayExecutor
+    from rooklug.gateway.lifecycle import Lifecycle
+    from rooklug.gateway.view_keeper import GatewayViewKeeper
+
+    core_link = CoreLink(settings, context)
+    keeper = GatewayViewKeeper()
+    gate = ColdGate(settings.node_id, limits.cold_burst_slack)
+    decision = Decision(settings.region, settings.zone, context.random, gate)
+    executor = GatewayExecutor(decision, dialect.headers, context.identifiers, limits.retry_budget)
+    lifecycle = Lifecycle(core_link, executor.active, limits.grace_s)
+    return CompositeReducer(
+        [
+            core_link,
+            keeper,
+            executor,
+            lifecycle,
+            Directory(dialect, keeper, lifecycle, settings.http_address, limits.directory_ttl_s),
+            DemandReporter(settings, context, core_link),
+        ]
+    )
+
+
+def compose_gateway_core(
+    settings: CoreSettings, context: ProcessContext, dialect: ControlDialect
+) -> CompositeReducer:
+    """Return the reducer of a core that keeps a gateway's configuration."""
+    from rooklug.core.build import build_core_parts
+    from rooklug.core.documents import DocumentChecker
+    from rooklug.gateway.document import read_gateway_configuration
+    from rooklug.gateway.listing import ListingWatcher
+    from rooklug.gateway.operators import OperatorCalls
+    from rooklug.gateway.patching import apply_named_patch
+    from rooklug.gateway.region_planner import RegionPlanner
+    from rooklug.membership.build import build_membership_parts
+
+    checker = DocumentChecker(read_gateway_configuration, apply_named_patch)
+    return CompositeReducer(
+        [
+            *build_core_parts(settings, context, checker),
+            *build_membership_parts(settings, context),
+            ListingWatcher(dialect, settings.node.platform_address, context.identifiers),
+            OperatorCalls(dialect, context),
+            RegionPlanner(context.identifiers),
+        ]
+    )
--- /dev/null
+++ b/rooklug/gateway/decision.py
@@ -0,0 +1,192 @@
+"""The decision object of the gateway: asked where a request goes, it does nothing itself."""
+
+from random import Random
+
+import attrs
+import xxhash
+
+from rooklug.front.health import ReplicaHealth
+from rooklug.front.outcomes import AttemptOutcome
+from rooklug.gateway.cold_gate import ColdGate
+from rooklug.gateway.document import Route, Service
+from rooklug.gateway.requests import PassedRequest
+from rooklug.gateway.view import GatewayReplica, GatewayView
+
+FULL_SHARE = 1.5
+"""A replica with more than this times its even share of this front's requests is passed over."""
+AFFINITY_ALLOWANCE = 4
+"""So many requests more than the even share a replica may have before that counts."""
+RETRY_AFTER_COLD_S = 0.5
+RETRY_AFTER_NO_REPLICA_S = 1.0
+
+
+@attrs.frozen
+class ServeAt:
+    """Send the request to this replica."""
+
+    replica: GatewayReplica
+
+
+@attrs.frozen
+class Refuse:
+    """Not run and never will be: the client should come back after ``retry_after_s``."""
+
+    reason: str
+    retry_after_s: float
+
+
+Verdict = ServeAt | Refuse
+
+
+@attrs.define
+class ReplicaLoad:
+    """What this front knows of a replica by itself."""
+
+    health: ReplicaHealth = attrs.field(factory=ReplicaHealth)
+    running: int = 0
+
+
+@attrs.define(eq=False)
+class Decision:
+    """Chooses service, region and replica. Only ``sent`` and ``ended`` change its counts."""
+
+    region: str
+    zone: str
+    random: Random
+    cold_gate: ColdGate
+    view: GatewayView = attrs.field(factory=GatewayView)
+    loads: dict[str, ReplicaLoad] = attrs.field(factory=dict)
+
+    def service_for(self, request: PassedRequest, route: Route) -> Service:
+        """Return the service that a request draws by the route's weights."""
+        total = sum(share.weight for share in route.shares)
+        left = request.draw * total
+        chosen = route.shares[-1]
+        for share in route.shares:
+            left -= share.weight
+            if left < 0 < share.weight:
+                chosen = share
+                break
+        return self.view.configuration.services[chosen.service]
+
+    def ask(
+        self,
+        request: PassedRequest,
+        route: Route,
+        service: Service,
+        tried: frozenset[str],
+        now: float,
+    ) -> Verdict:
+        """Return where the request goes now."""
+        usable = [
+            replica
+            for replica in self.view.usable(service.name, route.home_regions)
+            if replica.replica_id not in tried
+        ]
+        if not usable:
+            return Refuse("no replica", RETRY_AFTER_NO_REPLICA_S)
+        healthy = [replica for replica in usable if not self._is_ejected(replica, now)]
+        open_ones = [replica for replica in healthy if self._may_send(replica, service, now)]
+        if not open_ones and not healthy:
+            open_ones = [replica for replica in usable if self._may_send(replica, service, now)]
+        if not open_ones:
+            return Refuse("replicas are cold", RETRY_AFTER_COLD_S)
+        for level in self._region_levels(request, route, service):
+            candidates = [replica for replica in open_ones if replica.region in level]
+            if candidates:
+                return ServeAt(self._pick(request, route, service, candidates, now))
+        return ServeAt(self._pick(request, route, service, open_ones, now))
+
+    def sent(self, replica: GatewayReplica, service: Service, now: float) -> None:
+        """Count a request that goes out."""
+        self._load(replica).running += 1
+        if replica.is_cold(now):
+            self.cold_gate.sent(replica.replica_id, service.cold_rate_per_s, self._front_ids(), now)
+
+    def ended(self, replica: GatewayReplica, outcome: AttemptOutcome | None, now: float) -> None:
+        """Count the end of a request; None says nothing about the replica."""
+        load = self._load(replica)
+        load.running = max(load.running - 1, 0)
+        if outcome is AttemptOutcome.SUCCESS:
+            load.health.succeeded()
+        elif outcome is not None:
+            load.health.failed(outcome, now, self.random)
+
+    def take_view(self, view: GatewayView) -> None:
+        """Go on under a newer snapshot."""
+        self.view = view
+        listed = {r.replica_id for replicas in view.replicas.values() for r in replicas}
+        self.loads = {
+            key: load for key, load in self.loads.items() if key in listed or load.running
+        }
+        self.cold_gate.forget_except(listed)
+
+    def _region_levels(
+        self, request: PassedRequest, route: Route, service: Service
+    ) -> list[frozenset[str]]:
+        """Return regions to try in order: by the plan, else the own one and then any."""
+        shares = self.view.region_shares(service.name, self.region, route.home_regions)
+        levels: list[frozenset[str]] = []
+        first = [share for share in shares if share.preference == 0 and share.weight > 0]
+        total = sum(share.weight for share in first)
+        left = request.draw * total
+        for share in first:
+            left -= share.weight
+            if left < 0:
+                levels.append(frozenset({share.region}))
+                break
+        levels.append(frozenset({self.region}))
+        return levels
+
+    def _pick(
+        self,
+        request: PassedRequest,
+        route: Route,
+        service: Service,
+        candidates: list[GatewayReplica],
+        now: float,
+    ) -> GatewayReplica:
+        if route.affinity and request.parts:
+            return self._pick_by_affinity(request, candidates)
+        return min(candidates, key=lambda r: (self._running(r), r.zone != self.zone, self._tie()))
+
+    def _pick_by_affinity(
+        self, request: PassedRequest, candidates: list[GatewayReplica]
+    ) -> GatewayReplica:
+        """Return the replica that holds the shared parts, unless it has more than its share."""
+        shared = request.parts[:-1] or request.parts
+        key = ",".join(part.part_id for part in shared)
+        ranked = sorted(
+            candidates,
+            key=lambda r: xxhash.xxh64_intdigest(f"{key}/{r.replica_id}".encode()),
+            reverse=True,
+        )
+        even = sum(self._running(r) for r in candidates) / len(candidates)
+        bound = even * FULL_SHARE + AFFINITY_ALLOWANCE
+        return next((r for r in ranked if self._running(r) < bound), ranked[0])
+
+    def _may_send(self, replica: GatewayReplica, service: Service, now: float) -> bool:
+        if not replica.is_cold(now):
+            return True
+        return self.cold_gate.may_send(
+            replica.replica_id, service.cold_rate_per_s, self._front_ids(), now
+        )
+
+    def _is_ejected(self, replica: GatewayReplica, now: float) -> bool:
+        load = self.loads.get(replica.replica_id)
+        if load is None:
+            return False
+        return load.health.is_ejected(now) or (load.health.on_probation and load.running > 0)
+
+    def _running(self, replica: GatewayReplica) -> int:
+        load = self.loads.get(replica.replica_id)
+        return load.running if load else 0
+
+    def _load(self, replica: GatewayReplica) -> ReplicaLoad:
+        return self.loads.setdefault(replica.replica_id, ReplicaLoad())
+
+    def _front_ids(self) -> list[str]:
+        return [node.node_id for node in self.view.ready_fronts()]
+
+    def _tie(self) -> float:
+        return self.random.random()
--- /dev/null
+++ b/rooklug/gateway/demand.py
@@ -0,0 +1,79 @@
+"""Counts the demand that reaches this front and reports it to the primary's planner."""
+
+from collections import defaultdict
+
+import attrs
+
+from rooklug.engine import effects as fx
+from rooklug.engine import events as ev
+from rooklug.engine.composite import PartDefaults
+from rooklug.engine.reducer import ProcessContext
+from rooklug.gateway.notices import RequestCounted
+from rooklug.model.settings import NodeSettings
+from rooklug.wire.generated.control.ttypes import DemandEntry, DemandReport
+
+REPORT_INTERVAL_S = 3.0
+CALL_DEADLINE_S = 1.0
+_TIMER = "report"
+
+
+@attrs.define
+class _Count:
+    requests: int = 0
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
+
+
+class DemandReporter(PartDefaults):
+    """Sends the rates of each service every few seconds; a quiet front sends nothing."""
+
+    name = "demand"
+    notice_types = (RequestCounted,)
+
+    def __init__(self, settings: NodeSettings, context: ProcessContext, core_link) -> None:
+        self._settings = settings
+        self._context = context
+        self._core_link = core_link
+        self._counts: dict[str, _Count] = defaultdict(_Count)
+        self._sequence = 0
+
+    def handle(self, event: ev.Event, now: float) -> list[fx.Effect]:
+        """Count, or report."""
+        if isinstance(event, RequestCounted):
+            count = self._counts[event.service]
+            count.requests += 1
+            count.prompt_tokens += event.request.prompt_tokens
+            count.answer_tokens += event.request.answer_tokens
+        elif isinstance(event, ev.Started):
+            return [fx.StartTimer(_TIMER, REPORT_INTERVAL_S)]
+        elif isinstance(event, ev.TimerFired):
+            return [fx.StartTimer(_TIMER, REPORT_INTERVAL_S), *self._report()]
+        return []
+
+    def _report(self) -> list[fx.Effect]:
+        address = self._core_link.primary_address
+        if not address or not self._counts:
+            return []
+        taken, self._counts = self._counts, defaultdict(_Count)
+        self._sequence += 1
+        report = DemandReport(
+            node_id=self._settings.node_id,
+            node_incarnation=self._context.incarnation,
+            sequence=self._sequence,
+            entries=[self._entry(service, count) for service, count in sorted(taken.items())],
+            observations=[],
+        )
+        call_id = self._context.identifiers.next()
+        return [fx.Call(call_id, address, report, CALL_DEADLINE_S)]
+
+    def _entry(self, service: str, count: _Count) -> DemandEntry:
+        return DemandEntry(
+            route="",
+            model=service,
+            latency_class="",
+            source_region=self._settings.region,
+            requests_per_s=count.requests / REPORT_INTERVAL_S,
+            prompt_tokens_per_s=count.prompt_tokens / REPORT_INTERVAL_S,
+            answer_tokens_per_s=count.answer_tokens / REPORT_INTERVAL_S,
+            refused_per_s=0.0,
+        )
--- /dev/null
+++ b/rooklug/gateway/directory.py
@@ -0,0 +1,83 @@
+"""Tells clients which fronts to connect to, and the platform whether this front is ready."""
+
+import json
+
+from rooklug.engine import effects as fx
+from rooklug.engine import events as ev
+from rooklug.engine.composite import PartDefaults
+from rooklug.gateway.dialect import EdgeDialect, WhereQuestion
+from rooklug.gateway.lifecycle import Lifecycle
+from rooklug.gateway.view_keeper import GatewayViewKeeper
+from rooklug.wire.generated.control.ttypes import NodeRecord
+
+DIRECTORY_LISTENER = "directory"
+READINESS_LISTENER = "readiness"
+MAX_ADDRESSES = 64
+LEAST_FRONTS = 2
+_JSON = {"content-type": "application/json"}
+
+
+class Directory(PartDefaults):
+    """Answers on the directory's and the readiness check's listeners."""
+
+    name = "directory"
+    http_listeners = (DIRECTORY_LISTENER, READINESS_LISTENER)
+
+    def __init__(
+        self,
+        dialect: EdgeDialect,
+        keeper: GatewayViewKeeper,
+        lifecycle: Lifecycle,
+        own_address: str,
+        ttl_s: float,
+    ) -> None:
+        self._dialect = dialect
+        self._keeper = keeper
+        self._lifecycle = lifecycle
+        self._own_address = own_address
+        self._ttl_s = ttl_s
+
+    def handle(self, event: ev.Event, now: float) -> list[fx.Effect]:
+        """Answer a question."""
+        if not isinstance(event, ev.HttpRequestArrived):
+            return []
+        if event.listener == READINESS_LISTENER:
+            return [self._readiness(event)]
+        question = self._dialect.read_where(event)
+        if question is None:
+            return [fx.HttpRespond(event.request_id, 404, b"{}", _JSON)]
+        addresses = self._addresses(question)
+        if not addresses:
+            return [fx.HttpRespond(event.request_id, 503, b"{}", _JSON)]
+        body = self._dialect.write_where(addresses[:MAX_ADDRESSES], self._ttl_s)
+        return [fx.HttpRespond(event.request_id, 200, body, _JSON)]
+
+    def _readiness(self, event: ev.HttpRequestArrived) -> fx.Effect:
+        if event.path != self._dialect.readiness_path:
+            return fx.HttpRespond(event.request_id, 404, b"{}", _JSON)
+        reason = self._lifecycle.reason_not_ready()
+        body = json.dumps({"ready": reason == "", "reason": reason}).encode()
+        return fx.HttpRespond(event.request_id, 503 if reason else 200, body, _JSON)
+
+    def _addresses(self, question: WhereQuestion) -> list[str]:
+        fronts = self._keeper.view.ready_fronts()
+        if not fronts:
+            return [self._own_address] if not self._lifecycle.reason_not_ready() else []
+        nearest = _nearest(fronts, question, self._homes(question))
+        return sorted(node.http_address for node in nearest)
+
+    def _homes(self, question: WhereQuestion) -> frozenset[str]:
+        configuration = self._keeper.view.configuration
+        return configuration.hosts_home(question.host) if configuration else frozenset()
+
+
+def _nearest(
+    fronts: list[NodeRecord], question: WhereQuestion, homes: frozenset[str]
+) -> list[NodeRecord]:
+    """Return the fronts of the nearest place that has enough of them."""
+    allowed = [node for node in fronts if not homes or node.region in homes] or fronts
+    in_zone = [node for node in allowed if node.zone == question.zone]
+    if len(in_zone) >= LEAST_FRONTS:
+        return in_zone
+    in_region = [node for node in allowed if node.region == question.region]
+    return in_region or allowed
--- /dev/null
+++ b/rooklug/gateway/executor.py
@@ -0,0 +1,351 @@
+"""Carries requests to replicas and answers back; obeys the decision object.
+
+What the client is told: a replica's answer unchanged; 503 with ``Retry-After`` only when no
+replica has run the request or will; 504 at the end of its time; 502 when a replica may have
+run it and no answer came. An answer that has begun and breaks off ends without its final chunk.
+"""
+
+from collections.abc import Iterable
+
+import attrs
+
+from rooklug.engine import effects as fx
+from rooklug.engine import events as ev
+from rooklug.engine.composite import Notify, PartDefaults
+from rooklug.engine.reducer import Identifiers, MetricSample
+from rooklug.front.outcomes import AttemptOutcome
+from rooklug.gateway.answers import GatewayError, error_answer
+from rooklug.gateway.decision import Decision, Refuse
+from rooklug.gateway.dialect import HeaderNames
+from rooklug.gateway.document import Route
+from rooklug.gateway.event_stream import complete_length, last_event_id
+from rooklug.gateway.notices import RequestCounted, ViewChanged
+from rooklug.gateway.passage import Passage, Stage
+from rooklug.gateway.requests import PassedRequest, end_to_end, read_request
+from rooklug.gateway.retry_budget import RetryBudget, RetryBudgetSettings
+
+LISTENER = "clients"
+CONNECT_DEADLINE_S = 0.6
+# Our own timer is a little later than the replica's, whose answer says more.
+DEADLINE_SLACK_S = 0.03
+LEAST_TIME_TO_SEND_S = 0.01
+MAX_UNSENT_TRIES = 4
+RETRY_AFTER_START_S = 0.5
+RETRY_AFTER_FULL_S = 0.5
+NOT_EXECUTED_STATUSES = frozenset({400, 421, 429, 503})
+MAX_REFUSAL_BYTES = 64 * 1024
+
+
+@attrs.define
+class GatewayFigures:
+    """Counters since the start of the process."""
+
+    arrived: int = 0
+    answered: int = 0
+    refused: int = 0
+    failed: int = 0
+    repeated: int = 0
+    broken: int = 0
+
+
+class GatewayExecutor(PartDefaults):
+    """Serves the clients' listener."""
+
+    name = "gateway"
+    http_listeners = (LISTENER,)
+    notice_types = (ViewChanged,)
+
+    def __init__(
+        self,
+        decision: Decision,
+        names: HeaderNames,
+        identifiers: Identifiers,
+        budget: RetryBudgetSettings,
+    ) -> None:
+        self._decision = decision
+        self._names = names
+        self._identifiers = identifiers
+        self._budget_settings = budget
+        self._budgets: dict[str, RetryBudget] = {}
+        self._by_http: dict[int, Passage] = {}
+        self._by_call: dict[int, Passage] = {}
+        self._draining = False
+        self.last_arrival_at = 0.0
+        self.figures = GatewayFigures()
+
+    def active(self) -> int:
+        """Return how many requests are under way."""
+        return len(self._by_http)
+
+    def handle(self, event: ev.Event, now: float) -> list[fx.Effect]:
+        """Take one event."""
+        match event:
+            case ev.HttpRequestArrived():
+                return self._arrived(event, now)
+            case ev.HttpBodyPiece():
+                return self._piece(event, now)
+            case ev.HttpResponseStarted():
+                return self._started(event, now)
+            case ev.HttpAnswered():
+                return self._answered(event, now)
+            case ev.HttpResponseEnded():
+                return self._ended(event, now)
+            case ev.HttpFailed():
+                return self._failed(event, now)
+            case ev.HttpRequestClosed():
+                return self._client_left(event, now)
+            case ev.StopRequested():
+                self._draining = True
+            case ViewChanged():
+                self._decision.take_view(event.view)
+        return []
+
+    def metrics(self, now: float) -> Iterable[MetricSample]:
+        """Return the counters."""
+        return [
+            MetricSample(f"gateway_requests_{name}_total", float(value), "counter", name)
+            for name, value in attrs.asdict(self.figures).items()
+        ] + [MetricSample("gateway_requests_active", float(self.active()), "gauge", "under way")]
+
+    # Arrival --------------------------------------------------------------
+
+    def _arrived(self, event: ev.HttpRequestArrived, now: float) -> list[fx.Effect]:
+        self.figures.arrived += 1
+        self.last_arrival_at = now
+        request = read_request(event, self._names)
+        configuration = self._decision.view.configuration
+        if configuration is None:
+            return self._refuse(request, GatewayError.NOT_READY, RETRY_AFTER_START_S)
+        route = configuration.find(request.host, request.path)
+        if route is None:
+            return self._refuse(request, GatewayError.NO_ROUTE)
+        passage = self._passage(request, route, now)
+        self._by_http[request.http_id] = passage
+        self._budget(passage).count_request(now)
+        return [Notify(RequestCounted(request, passage.service.name)), *self._send(passage, now)]
+
+    def _passage(self, request: PassedRequest, route: Route, now: float) -> Passage:
+        patience_s = route.timeout_s
+        if request.deadline_s is not None:
+            patience_s = min(patience_s, request.deadline_s)
+        service = self._decision.service_for(request, route)
+        return Passage(request, route, service, now, now + patience_s)
+
+    def _budget(self, passage: Passage) -> RetryBudget:
+        name = passage.service.name
+        if name not in self._budgets:
+            self._budgets[name] = RetryBudget(self._budget_settings)
+        return self._budgets[name]
+
+    # To the replica -------------------------------------------------------
+
+    def _send(self, passage: Passage, now: float) -> list[fx.Effect]:
+        if passage.left_s(now) < LEAST_TIME_TO_SEND_S:
+            return self._give_up(passage, now)
+        verdict = self._decision.ask(
+            passage.request, passage.route, passage.service, frozenset(passage.tried), now
+        )
+        if isinstance(verdict, Refuse):
+            return self._give_up(passage, now, verdict.retry_after_s)
+        replica = verdict.replica
+        if passage.sends:
+            self._budget(passage).count_repeat(now)
+            self.figures.repeated += 1
+        passage.replica = replica
+        passage.tried.add(replica.replica_id)
+        passage.sends += 1
+        passage.sent_at = now
+        passage.call_id = self._identifiers.next()
+        self._by_call[passage.call_id] = passage
+        self._decision.sent(replica, passage.service, now)
+        return [self._call(passage, now)]
+
+    def _call(self, passage: Passage, now: float) -> fx.HttpCall:
+        request, replica, names = passage.request, passage.replica, self._names
+        left_s = passage.left_s(now)
+        headers = end_to_end(request.headers)
+        headers["host"] = request.host
+        headers[names.deadline_ms] = str(int(left_s * 1000))
+        headers[names.expected_replica] = replica.replica_id
+        if passage.last_event_id:
+            headers[names.resume_after] = passage.last_event_id
+        return fx.HttpCall(
+            call_id=passage.call_id,
+            address=replica.address,
+            method=request.method,
+            path=request.target,
+            body=request.body,
+            deadline_s=left_s + DEADLINE_SLACK_S,
+            headers=headers,
+            streaming=passage.is_stream,
+            connect_deadline_s=min(CONNECT_DEADLINE_S, left_s),
+        )
+
+    # From the replica -----------------------------------------------------
+
+    def _answered(self, event: ev.HttpAnswered, now: float) -> list[fx.Effect]:
+        passage = self._by_call.pop(event.call_id, None)
+        if passage is None:
+            return []
+        return self._whole_answer(passage, event.status, event.headers, event.body, now)
+
+    def _whole_answer(
+        self, passage: Passage, status: int, headers: dict[str, str], body: bytes, now: float
+    ) -> list[fx.Effect]:
+        if self._is_not_executed(status, headers):
+            self._decision.ended(passage.replica, None, now)
+            return self._not_executed(passage, status, headers, body, now)
+        if not self._is_ours(passage, headers):
+            self._decision.ended(passage.replica, AttemptOutcome.BROKEN, now)
+            passage.may_have_run = True
+            return self._try_again(passage, now)
+        outcome = AttemptOutcome.SUCCESS if status < 500 else AttemptOutcome.BROKEN
+        self._decision.ended(passage.replica, outcome, now)
+        return self._respond(passage, status, headers, body)
+
+    def _not_executed(
+        self, passage: Passage, status: int, headers: dict[str, str], body: bytes, now: float
+    ) -> list[fx.Effect]:
+        if status == 400:
+            return self._respond(passage, status, headers, body)
+        if status == 421:  # the address is another replica's by now
+            passage.sends -= 1
+        return self._try_again(passage, now)
+
+    def _started(self, event: ev.HttpResponseStarted, now: float) -> list[fx.Effect]:
+        passage = self._by_call.get(event.call_id)
+        if passage is None:
+            return []
+        passage.status = event.status
+        passage.headers = event.headers
+        passage.failure_body = []
+        if not 200 <= event.status < 300:
+            return []
+        if not self._is_ours(passage, event.headers):
+            self._by_call.pop(event.call_id)
+            self._decision.ended(passage.replica, AttemptOutcome.BROKEN, now)
+            passage.may_have_run = True
+            return [fx.CancelHttpCall(event.call_id), *self._try_again(passage, now)]
+        if passage.stage is Stage.STREAMING:
+            return []
+        passage.stage = Stage.STREAMING
+        headers = self._towards_client(event.headers)
+        return [fx.HttpStreamStart(passage.request.http_id, event.status, headers)]
+
+    def _piece(self, event: ev.HttpBodyPiece, now: float) -> list[fx.Effect]:
+        passage = self._by_call.get(event.call_id)
+        if passage is None:
+            return []
+        if not 200 <= passage.status < 300:
+            passage.failure_body.append(event.data)
+            return []
+        data = passage.tail + event.data
+        whole = complete_length(data)
+        passage.tail = data[whole:]
+        if not whole:
+            return []
+        passage.last_event_id = last_event_id(data[:whole]) or passage.last_event_id
+        return [fx.HttpStreamPiece(passage.request.http_id, data[:whole])]
+
+    def _ended(self, event: ev.HttpResponseEnded, now: float) -> list[fx.Effect]:
+        passage = self._by_call.pop(event.call_id, None)
+        if passage is None:
+            return []
+        if not 200 <= passage.status < 300:
+            body = b"".join(passage.failure_body)[:MAX_REFUSAL_BYTES]
+            return self._whole_answer(passage, passage.status, passage.headers, body, now)
+        if passage.tail:  # the end came within an event
+            self._decision.ended(passage.replica, AttemptOutcome.BROKEN, now)
+            return self._stream_broke(passage, now)
+        self._decision.ended(passage.replica, AttemptOutcome.SUCCESS, now)
+        self._forget(passage)
+        self.figures.answered += 1
+        return [fx.HttpStreamEnd(passage.request.http_id)]
+
+    def _failed(self, event: ev.HttpFailed, now: float) -> list[fx.Effect]:
+        passage = self._by_call.pop(event.call_id, None)
+        if passage is None:
+            return []
+        if event.send_state is ev.SendState.NOT_SENT:
+            self._decision.ended(passage.replica, AttemptOutcome.CONNECT_FAILED, now)
+            passage.sends -= 1  # it reached no replica
+            if len(passage.tried) >= MAX_UNSENT_TRIES:
+                return self._give_up(passage, now, RETRY_AFTER_FULL_S)
+            return self._send(passage, now)
+        timed_out = passage.left_s(now) <= 0
+        outcome = AttemptOutcome.TIMED_OUT if timed_out else AttemptOutcome.BROKEN
+        self._decision.ended(passage.replica, outcome, now)
+        passage.may_have_run = True
+        if passage.stage is Stage.STREAMING:
+            return self._stream_broke(passage, now)
+        return self._try_again(passage, now)
+
+    def _stream_broke(self, passage: Passage, now: float) -> list[fx.Effect]:
+        """End the client's answer visibly broken."""
+        self.figures.broken += 1
+        self._forget(passage)
+        return [fx.HttpStreamAbort(passage.request.http_id)]
+
+    def _try_again(self, passage: Passage, now: float) -> list[fx.Effect]:
+        fronts = len(self._decision.view.ready_fronts())
+        budget = self._budget(passage)
+        if passage.may_send_again() and budget.may_repeat(fronts, now):
+            return self._send(passage, now)
+        return self._give_up(passage, now, RETRY_AFTER_FULL_S)
+
+    def _client_left(self, event: ev.HttpRequestClosed, now: float) -> list[fx.Effect]:
+        passage = self._by_http.pop(event.request_id, None)
+        if passage is None or self._by_call.pop(passage.call_id, None) is None:
+            return []
+        self._decision.ended(passage.replica, None, now)
+        return [fx.CancelHttpCall(passage.call_id)]
+
+    # To the client --------------------------------------------------------
+
+    def _respond(
+        self, passage: Passage, status: int, headers: dict[str, str], body: bytes
+    ) -> list[fx.Effect]:
+        self._forget(passage)
+        self.figures.answered += 1
+        headers = self._towards_client(headers)
+        return [fx.HttpRespond(passage.request.http_id, status, body, headers)]
+
+    def _give_up(self, passage: Passage, now: float, retry_after_s: float = 0.0) -> list[fx.Effect]:
+        """Give the final answer at once."""
+        self._forget(passage)
+        if passage.left_s(now) <= LEAST_TIME_TO_SEND_S:
+            return self._refuse(passage.request, GatewayError.TIMED_OUT)
+        if passage.may_have_run:
+            return self._refuse(passage.request, GatewayError.MAY_HAVE_RUN)
+        return self._refuse(passage.request, GatewayError.NOT_RUN, retry_after_s)
+
+    def _refuse(
+        self, request: PassedRequest, error: GatewayError, retry_after_s: float = 0.0
+    ) -> list[fx.Effect]:
+        if error in (GatewayError.TIMED_OUT, GatewayError.MAY_HAVE_RUN):
+            self.figures.failed += 1
+        else:
+            self.figures.refused += 1
+        headers = self._towards_client({})
+        if request.request_id:
+            headers[self._names.request_id] = request.request_id
+        return [error_answer(request.http_id, error, headers, retry_after_s)]
+
+    def _towards_client(self, headers: dict[str, str]) -> dict[str, str]:
+        passed = end_to_end(headers)
+        if self._draining:
+            passed["connection"] = "close"
+        return passed
+
+    def _forget(self, passage: Passage) -> None:
+        self._by_http.pop(passage.request.http_id, None)
+        self._by_call.pop(passage.call_id, None)
+
+    def _is_not_executed(self, status: int, headers: dict[str, str]) -> bool:
+        if status == 421:
+            return True
+        return status in NOT_EXECUTED_STATUSES and self._names.not_executed in headers
+
+    def _is_ours(self, passage: Passage, headers: dict[str, str]) -> bool:
+        """Tell whether an answer belongs to the request: its id tells answers apart."""
+        return headers.get(self._names.request_id) == passage.request.request_id
--- /dev/null
+++ b/rooklug/gateway/lifecycle.py
@@ -0,0 +1,70 @@
+"""A front's readiness and its graceful end."""
+
+from collections.abc import Callable
+
+from rooklug.engine import effects as fx
+from rooklug.engine import events as ev
+from rooklug.engine.composite import Notify, PartDefaults
+from rooklug.gateway.notices import DrainingStarted, ViewChanged
+from rooklug.gateway.view import GatewayView
+
+_TIMER = "drain"
+_CHECK_S = 0.1
+NOTICE_S = 2.5
+"""Clients and the directory need so long to see that this front leaves."""
+LAST_RESERVE_S = 0.5
+"""The process ends this long before its grace is over."""
+
+
+class Lifecycle(PartDefaults):
+    """Says whether this front takes traffic; at ``StopRequested`` waits for what runs."""
+
+    name = "lifecycle"
+    notice_types = (ViewChanged,)
+
+    def __init__(self, core_link, active: Callable[[], int], grace_s: float) -> None:
+        self._core_link = core_link
+        self._active = active
+        self._grace_s = grace_s
+        self._view = GatewayView()
+        self._drain_began: float | None = None
+
+    def reason_not_ready(self) -> str:
+        """Return "" when ready, else why not. Silent control alone is no reason."""
+        if self._drain_began is not None:
+            return "draining"
+        if self._view.configuration is None:
+            return "no configuration yet"
+        if not self._view.is_listed:
+            return "no list of replicas yet"
+        return ""
+
+    def handle(self, event: ev.Event, now: float) -> list[fx.Effect]:
+        """Follow the view, or drain."""
+        if isinstance(event, ViewChanged):
+            self._view = event.view
+            return self._core_link.set_ready(self.reason_not_ready() == "")
+        if isinstance(event, ev.StopRequested):
+            return self._begin_drain(now)
+        if isinstance(event, ev.TimerFired):
+            return self._check_drain(now)
+        return []
+
+    def _begin_drain(self, now: float) -> list[fx.Effect]:
+        if self._drain_began is not None:
+            return []
+        self._drain_began = now
+        return [
+            *self._core_link.set_ready(False),
+            *self._core_link.set_draining(True),
+            Notify(DrainingStarted()),
+            fx.StartTimer(_TIMER, _CHECK_S),
+        ]
+
+    def _check_drain(self, now: float) -> list[fx.Effect]:
+        elapsed_s = now - self._drain_began
+        if elapsed_s >= self._grace_s - LAST_RESERVE_S:
+            return [fx.StopProcess(0, f"end of the grace, {self._active()} requests cut off")]
+        if elapsed_s >= min(NOTICE_S, self._grace_s / 2) and self._active() == 0:
+            return [fx.StopProcess(0, "drained")]
+        return [fx.StartTimer(_TIMER, _CHECK_S)]
--- /dev/null
+++ b/rooklug/gateway/notices.py
@@ -0,0 +1,35 @@
+"""Messages between the gateway's parts."""
+
+import attrs
+
+from rooklug.engine.composite import Notice
+from rooklug.gateway.requests import PassedRequest
+from rooklug.gateway.view import GatewayView
+from rooklug.wire.generated.control.ttypes import ReplicasBody
+
+
+@attrs.frozen
+class ViewChanged(Notice):
+    """This front goes on under a newer snapshot."""
+
+    view: GatewayView
+
+
+@attrs.frozen
+class RequestCounted(Notice):
+    """A client's request for a service has arrived."""
+
+    request: PassedRequest
+    service: str
+
+
+@attrs.frozen
+class DrainingStarted(Notice):
+    """This front is about to end."""
+
+
+@attrs.frozen
+class ReplicasListed(Notice):
+    """At the primary: the platform's list has changed."""
+
+    body: ReplicasBody
--- /dev/null
+++ b/rooklug/gateway/view.py
@@ -0,0 +1,81 @@
+"""One immutable snapshot of what a front knows: configuration, replicas, zones, fronts, plan."""
+
+import attrs
+
+from rooklug.gateway.document import GatewayConfiguration
+from rooklug.wire.generated.control.ttypes import NodeRecord, RouteWeight
+
+FRONT_ROLE = "front"
+
+
+@attrs.frozen
+class GatewayReplica:
+    """A listed replica. ``cold_until``: monotonic end of its slow start, 0 when it is warm."""
+
+    replica_id: str
+    address: str
+    service: str
+    region: str
+    zone: str
+    slots: int
+    leaving: bool
+    cold_until: float = 0.0
+
+    def is_cold(self, now: float) -> bool:
+        """Tell whether it bears only its cold rate."""
+        return now < self.cold_until
+
+
+@attrs.frozen
+class RegionShare:
+    """A cell of the routing matrix: preference 0 comes first."""
+
+    region: str
+    preference: int
+    weight: float
+
+
+MatrixKey = tuple[str, str, tuple[str, ...]]
+"""Service, source region, home regions."""
+
+
+@attrs.frozen
+class GatewayView:
+    """What decisions read. ``configuration`` is None before the first one came."""
+
+    configuration: GatewayConfiguration | None = None
+    replicas: dict[str, tuple[GatewayReplica, ...]] = attrs.field(factory=dict)
+    is_listed: bool = False
+    emptied_zones: frozenset[str] = frozenset()
+    fronts: tuple[NodeRecord, ...] = ()
+    matrix: dict[MatrixKey, tuple[RegionShare, ...]] = attrs.field(factory=dict)
+
+    def usable(self, service: str, homes: tuple[str, ...]) -> list[GatewayReplica]:
+        """Return the replicas that may get requests at all."""
+        return [
+            replica
+            for replica in self.replicas.get(service, ())
+            if not replica.leaving
+            and replica.zone not in self.emptied_zones
+            and (not homes or replica.region in homes)
+        ]
+
+    def region_shares(
+        self, service: str, region: str, homes: tuple[str, ...]
+    ) -> tuple[RegionShare, ...]:
+        """Return the plan's cells for a region's traffic; empty without any."""
+        return self.matrix.get((service, region, homes), ())
+
+    def ready_fronts(self) -> list[NodeRecord]:
+        """Return the fronts that take traffic."""
+        return [node for node in self.fronts if node.ready and not node.draining]
+
+
+def matrix_of(cells: list[RouteWeight]) -> dict[MatrixKey, tuple[RegionShare, ...]]:
+    """Return the plan's cells by what a request is looked up with."""
+    found: dict[MatrixKey, list[RegionShare]] = {}
+    for cell in cells:
+        key = (cell.model, cell.source_region, tuple(cell.home_regions))
+        share = RegionShare(cell.destination_region, cell.preference, cell.weight)
+        found.setdefault(key, []).append(share)
+    return {key: tuple(shares) for key, shares in found.items()}
--- a/rooklug/membership/membership_part.py
+++ b/rooklug/membership/membership_part.py
@@ -19,6 +19,7 @@
 from rooklug.model.topics import MEMBERS, PLAN, REPLICAS, ZONES
 from rooklug.wire.codec import encode
 from rooklug.wire.generated.control import ttypes
+from rooklug.wire.packing import encode_packed
 
 _TICK = "tick"
 _BODIES_OF_A_TERM = (MEMBERS, REPLICAS, PLAN)
@@ -43,6 +44,7 @@
         notices.ConfigurationCommitted,
         notices.ZonesCommitted,
         notices.CoreStatusChanged,
+        notices.TopicOffered,
     )
 
     def __init__(self, settings: CoreSettings, context: ProcessContext) -> None:
@@ -64,6 +66,7 @@
             notices.ConfigurationCommitted: self._take_configuration,
             notices.ZonesCommitted: self._take_zones,
             notices.CoreStatusChanged: self._take_status,
+            notices.TopicOffered: self._take_offer,
             ev.Computed: self._computed,
         }
         self._timers = {
@@ -173,6 +176,16 @@
             return []
         return view.wake(now) + view.move_roles(now)
 
+    def _take_offer(self, notice: notices.TopicOffered, now: float) -> list[fx.Effect]:
+        """Distribute what a part of this primary has made."""
+        view = self.view
+        if not view.acts(now):
+            return []
+        mark = ttypes.VersionMark(notice.epoch, notice.sequence)
+        if not view.store.offer(notice.topic, mark, encode_packed(notice.body)):
+            return []
+        return view.wake(now)
+
     def _publish(self, event: ev.CallArrived, now: float) -> list[fx.Effect]:
         view = self.view
         refusal = PublishRefusal.NOT_PRIMARY
--- a/rooklug/model/notices.py
+++ b/rooklug/model/notices.py
@@ -60,6 +60,20 @@
     body: ZonesBody
 
 
+@attrs.frozen
+class TopicOffered(Notice):
+    """A part of the primary itself has made a topic; ``body`` is a thrift struct.
+
+    ``sequence`` grows with each offer of the part in this process. The primary's lease is
+    what makes the part the only one: no grant is needed.
+    """
+
+    topic: str
+    epoch: int
+    sequence: int
+    body: Any
+
+
 @attrs.frozen
 class CoreStatusChanged(Notice):
     """This core's replication status, for ``ctl status``."""
--- a/rooklug/runtime/host.py
+++ b/rooklug/runtime/host.py
@@ -53,7 +53,8 @@
 class Host:
     """Delivers events to a reducer one at a time, and obeys its effects in order.
 
-    ``listen_*`` are "ip:port" ("" for none, port 0 for any free one). ``await start()``,
+    ``listen_*`` are "ip:port" ("" for none, port 0 for any free one); ``listeners`` are
+    further HTTP addresses by the name that their requests carry. ``await start()``,
     then ``await stopped()`` returns the exit code. An exception of the reducer is a broken
     invariant: it is logged, and the exit code is ``EXIT_BROKEN_INVARIANT``.
     """
@@ -64,6 +65,7 @@
         *,
         listen_internal: str,
         listen_http: str,
+        listeners: dict[str, str] | None = None,
         bind_ip: str = "",
         data_folder: str = "",
         node_id: str = "",
@@ -77,6 +79,7 @@
         self.log = NodeLog(node_id, log_level, log_stream)
         self._listen_internal = listen_internal
         self._listen_http = listen_http
+        self._listeners = listeners or {}
         self._bind_ip = bind_ip
         self._data_folder = data_folder
         self._node_id = node_id
@@ -238,6 +241,8 @@
         try:
             self.internal_address = self._listen_on(self._calls_in, self._listen_internal)
             self.http_address = self._listen_on(self._http_port.server, self._listen_http)
+            for name, address in self._listeners.items():
+                self._listen_on(self._http_port.listener(name), address)
         except OSError:
             self._calls_in.stop()
             raise
--- a/rooklug/runtime/http_client.py
+++ b/rooklug/runtime/http_client.py
@@ -11,12 +11,13 @@
 from rooklug.engine import events as ev
 from rooklug.engine.effects import HttpCall
 from rooklug.runtime.addresses import ConnectFailed
-from rooklug.runtime.http_pool import ClientStream, ConnectionPool
+from rooklug.runtime.http_pool import ClientStream, ConnectionPool, keep_alive_s
 from rooklug.runtime.tasks import LogWriter, TaskKeeper
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 _UNBOUNDED = 1 << 62
 _MAX_HEADER_BYTES = 64 * 1024
+_READ_BYTES = 64 * 1024
 _NO_BODY_STATUSES = (204, 304)
 _HEAD_METHOD = HTTPMethod.HEAD.value
 
@@ -25,6 +26,20 @@
 Deliver = Callable[[ev.Event, Callable[[], bool]], Awaitable[None] | None]
 
 
+class _ClientConnection(HTTP1Connection):
+    """Hands on the bytes of an answer without a length as they come."""
+
+    async def _read_body_until_close(self, delegate: httputil.HTTPMessageDelegate) -> None:
+        while True:
+            try:
+                chunk = await self.stream.read_bytes(_READ_BYTES, partial=True)
+            except StreamClosedError:
+                return  # the call looks at the stream's error: a reset is not an end
+            taken = delegate.data_received(chunk)
+            if taken is not None:
+                await taken
+
+
 class _ClientCall(httputil.HTTPMessageDelegate):
     """One call: sends the request, delivers the answer's events, exactly one end."""
 
@@ -77,7 +92,8 @@
         self._status = start_line.code
         self._headers = {name.lower(): value for name, value in headers.items()}
         self._keep = (
-            start_line.version == "HTTP/1.1" and self._headers.get("connection", "") != "close"
+            start_line.version == "HTTP/1.1"
+            and self._headers.get("connection", "").lower() != "close"
         )
         if not self.effect.streaming:
             return None
@@ -92,13 +108,15 @@
         return None
 
     def finish(self) -> None:
-        """The message is over: whole, unless only the connection's end marks its end."""
-        self._whole = (
+        """The message is over; one without a length is whole if its connection was closed."""
+        framed = (
             "content-length" in self._headers
             or "transfer-encoding" in self._headers
             or self._status in _NO_BODY_STATUSES
             or self.effect.method == _HEAD_METHOD
         )
+        self._keep = self._keep and framed
+        self._whole = framed or (self._stream.closed() and self._stream.error is None)
         if not self._whole:
             return
         self._end(self._success())
@@ -129,9 +147,9 @@
         parameters = HTTP1ConnectionParameters(
             max_header_size=_MAX_HEADER_BYTES, max_body_size=bound
         )
-        connection = HTTP1Connection(self._stream, True, parameters)
+        connection = _ClientConnection(self._stream, True, parameters)
         headers = httputil.HTTPHeaders(effect.headers)
-        headers["host"] = effect.address
+        headers.setdefault("host", effect.address)
         if effect.body or effect.method not in ("GET", _HEAD_METHOD):
             headers["content-length"] = str(len(effect.body))
         start_line = httputil.RequestStartLine(effect.method, effect.path, "HTTP/1.1")
@@ -147,7 +165,8 @@
         if not self._whole:
             self._fail("the connection ended before the answer did")
         elif self._keep and not self._cancelled:
-            self._client.pool.give_back(self.effect.address, self._stream)
+            idle_s = keep_alive_s(self._headers.get("keep-alive", ""))
+            self._client.pool.give_back(self.effect.address, self._stream, idle_s)
         else:
             self._drop()
 
--- a/rooklug/runtime/http_exchange.py
+++ b/rooklug/runtime/http_exchange.py
@@ -30,7 +30,10 @@
 class HttpExchange(httputil.HTTPMessageDelegate):
     """Reads a request, delivers its events, and writes what the reducer answers."""
 
-    def __init__(self, port: "HttpPort", connection: httputil.HTTPConnection) -> None:
+    def __init__(
+        self, port: "HttpPort", connection: httputil.HTTPConnection, listener: str = ""
+    ) -> None:
+        self._listener = listener
         self.unsent_bytes = 0  # of a streamed answer, waiting for the caller
         self.written: asyncio.Future | None = None
         self._port = port
@@ -66,7 +69,7 @@
             self._refuse_large_body()
             return self._body_wanted
         path = start_line.path.partition("?")[0]
-        if not path.startswith(self._port.head_first_paths):
+        if self._listener or not path.startswith(self._port.head_first_paths):
             return None
         self._head_first = True
         self._body_wanted = asyncio.get_running_loop().create_future()
@@ -96,7 +99,7 @@
         self._body.clear()
         if self._head_first:
             self._port.deliver(HttpRequestBody(self._request_id, body))
-        elif self._start.path.partition("?")[0] == METRICS_PATH:
+        elif not self._listener and self._start.path.partition("?")[0] == METRICS_PATH:
             self.respond(200, {"content-type": CONTENT_TYPE}, self._port.metrics())
         else:
             self._port.deliver(self._arrived(body, body_withheld=False))
@@ -191,6 +194,8 @@
             body=body,
             body_withheld=body_withheld,
             remote_address=str(self._connection.context),
+            target=self._start.path,
+            listener=self._listener,
         )
 
     def _write_head(
--- a/rooklug/runtime/http_pool.py
+++ b/rooklug/runtime/http_pool.py
@@ -9,10 +9,23 @@
 from rooklug.runtime.addresses import connect_stream
 
 _PEEK = socket.MSG_PEEK
-_MAX_IDLE_S = 2.0
+_DEFAULT_IDLE_S = 2.0
+_LONGEST_IDLE_S = 120.0
+# A server counts its idle time from when it sent, so the client lets go earlier.
+_KEEP_ALIVE_MARGIN_S = 1.0
+_SWEEP_S = 2.0
 _MAX_IDLE_CONNECTIONS = 64
 
 
+def keep_alive_s(keep_alive: str) -> float:
+    """Return how long a connection may rest, by the answer's ``Keep-Alive`` (RFC 2068)."""
+    for parameter in keep_alive.split(","):
+        name, _, value = parameter.strip().partition("=")
+        if name.lower() == "timeout" and value.isascii() and value.isdigit():
+            return min(max(float(value) - _KEEP_ALIVE_MARGIN_S, 0.0), _LONGEST_IDLE_S)
+    return _DEFAULT_IDLE_S
+
+
 class ClientStream(IOStream):
     """A client's connection that can tell whether it is fit for another request."""
 
@@ -49,22 +62,24 @@
         """
         idle = self._idle[address]
         while idle:
-            since, stream = idle.pop()
-            if self._loop.time() - since <= _MAX_IDLE_S and stream.is_reusable():
+            until, stream = idle.pop()
+            if self._loop.time() <= until and stream.is_reusable():
                 return stream
             stream.close()
         self.connections_made += 1
         return await connect_stream(address, self._bind_ip, connect_deadline_s, ClientStream)
 
-    def give_back(self, address: str, stream: ClientStream) -> None:
-        """Keep a connection after a whole and clean exchange."""
+    def give_back(
+        self, address: str, stream: ClientStream, idle_s: float = _DEFAULT_IDLE_S
+    ) -> None:
+        """Keep a connection after a whole and clean exchange, for ``idle_s`` at most."""
         idle = self._idle[address]
         if len(idle) >= _MAX_IDLE_CONNECTIONS or not stream.is_reusable():
             stream.close()
             return
-        idle.append((self._loop.time(), stream))
+        idle.append((self._loop.time() + idle_s, stream))
         if self._sweeper is None:
-            self._sweeper = self._loop.call_later(_MAX_IDLE_S, self._sweep)
+            self._sweeper = self._loop.call_later(_SWEEP_S, self._sweep)
 
     def close(self) -> None:
         """Close all kept connections."""
@@ -77,12 +92,12 @@
 
     def _sweep(self) -> None:
         self._sweeper = None
-        oldest = self._loop.time() - _MAX_IDLE_S
+        now = self._loop.time()
         for address, idle in list(self._idle.items()):
-            for entry in [entry for entry in idle if entry[0] <= oldest]:
+            for entry in [entry for entry in idle if entry[0] <= now]:
                 idle.remove(entry)
                 entry[1].close()
             if not idle:
                 del self._idle[address]
         if self._idle:
-            self._sweeper = self._loop.call_later(_MAX_IDLE_S, self._sweep)
+            self._sweeper = self._loop.call_later(_SWEEP_S, self._sweep)
--- a/rooklug/runtime/http_server.py
+++ b/rooklug/runtime/http_server.py
@@ -31,10 +31,20 @@
         self.metrics = metrics
         self.identifiers = identifiers
         self.exchanges: dict[int, HttpExchange] = {}
+        self._named: list[HTTPServer] = []
         self.lingering: set[HttpExchange] = set()
         self.finishing: set[HttpExchange] = set()  # answered, but not all written
-        self.server = HTTPServer(
-            self,
+        self.server = self._server(self)
+
+    def listener(self, name: str) -> HTTPServer:
+        """Return a server whose requests carry ``name``; the caller binds its sockets."""
+        server = self._server(_NamedListener(self, name))
+        self._named.append(server)
+        return server
+
+    def _server(self, delegate: httputil.HTTPServerConnectionDelegate) -> HTTPServer:
+        return HTTPServer(
+            delegate,
             idle_connection_timeout=_IDLE_CONNECTION_S,
             max_header_size=_MAX_HEADER_BYTES,
             # The exchange refuses larger bodies itself, with a typed error.
@@ -64,7 +74,8 @@
 
     def stop(self) -> None:
         """Take no new connections."""
-        self.server.stop()
+        for server in (self.server, *self._named):
+            server.stop()
 
     async def flush(self, limit_s: float) -> None:
         """Wait until whole answers have been written, at most ``limit_s``."""
@@ -76,7 +87,25 @@
         """Close every connection."""
         for exchange in [*self.exchanges.values(), *self.lingering]:
             exchange.abort()
-        await self.server.close_all_connections()
+        for server in (self.server, *self._named):
+            await server.close_all_connections()
+
+
+class _NamedListener(httputil.HTTPServerConnectionDelegate):
+    """Begins the exchanges of one named listener."""
+
+    def __init__(self, port: HttpPort, name: str) -> None:
+        self._port = port
+        self._name = name
+
+    def start_request(
+        self, server_conn: object, request_conn: httputil.HTTPConnection
+    ) -> httputil.HTTPMessageDelegate:
+        """Begin an exchange."""
+        return HttpExchange(self._port, request_conn, self._name)
+
+    def on_close(self, server_conn: object) -> None:
+        """A connection ended; its exchange was told."""
 
 
 _OBEDIENCE = {
--- a/rooklug/runtime/log.py
+++ b/rooklug/runtime/log.py
@@ -1,4 +1,4 @@
-"""The log: one JSON object a line, through picologging."""
+"""The log: one JSON object a line, through the standard library's logging."""
 
 import json
 import logging
@@ -7,14 +7,13 @@
 from typing import Any, TextIO
 
 import attrs
-import picologging
 
 LEVELS = {
-    "debug": picologging.DEBUG,
-    "info": picologging.INFO,
-    "warning": picologging.WARNING,
-    "error": picologging.ERROR,
-    "critical": picologging.CRITICAL,
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+    "critical": logging.CRITICAL,
 }
 
 
@@ -27,10 +26,10 @@
     fields: dict[str, Any]
 
 
-class JsonLinesFormatter(picologging.Formatter):
+class JsonLinesFormatter(logging.Formatter):
     """Writes a record whose message is a ``LogEntry``: ts (UTC), level, node, message, fields."""
 
-    def format(self, record: picologging.LogRecord) -> str:
+    def format(self, record: logging.LogRecord) -> str:
         """Return one line without its end."""
         entry: LogEntry = record.msg
         line = {
@@ -49,15 +48,17 @@
 
     def __init__(self, node_id: str, level: str = "info", stream: TextIO | None = None) -> None:
         self._node_id = node_id
-        self._logger = picologging.Logger(node_id)
+        self._logger = logging.Logger(node_id)
         self._logger.setLevel(LEVELS[level])
-        handler = picologging.StreamHandler(stream or sys.stderr)
+        handler = logging.StreamHandler(stream or sys.stderr)
         handler.setFormatter(JsonLinesFormatter())
         self._logger.addHandler(handler)
 
     def write(self, level: str, message: str, fields: dict[str, Any] | None = None) -> None:
         """Write one line; an unknown level counts as "error"."""
-        number = LEVELS.get(level, picologging.ERROR)
+        number = LEVELS.get(level, logging.ERROR)
+        if not self._logger.isEnabledFor(number):
+            return
         self._logger.log(number, LogEntry(self._node_id, message, fields or {}))
 
 
