Restart in place of the primary, costs in tokens, resumed streams, requests that fit the grace

Ruled out: slow starts (0.36 s), the list (read 0.1 s after a primary starts). Change: a witness restarts under the primary of its durably accepted view, whose own proposal ends the quiet time; heartbeats of views that aren't accepted durably don't count for the lease. Replicas are chosen by tokens to read and to wait for; a part of the fronts takes the clients; resumable streams go on elsewhere; an ending front takes only what fits its grace; Retry-After stays below a third of the client's time.

--- a/idl/core.thrift
+++ b/idl/core.thrift
@@ -155,6 +155,7 @@
   2: required i64 promised_epoch
   3: required MemberDisk member
   4: required bool voting
+  5: optional bool supports                // it has accepted this view durably: counts for the lease
 }
 struct SnapshotPartRequest {
   1: required i64 epoch
--- a/rooklug/core/backup.py
+++ b/rooklug/core/backup.py
@@ -70,6 +70,8 @@
             promised_epoch=self._promised,
             member=disk_to_wire(self._witness.state.own),
             voting=self._witness.state.voting,
+            # Support that a restart would forget doesn't count: see ``Witness.load``.
+            supports=self._witness.state.accepted_epoch >= request.epoch,
         )
         self._outbox.answer(call_id, answer)
 
--- a/rooklug/core/leader.py
+++ b/rooklug/core/leader.py
@@ -184,7 +184,8 @@
             self.replicator.heard(member, disk_from_wire(answer.member), now)
             if answer.ok and answer.voting:
                 member.reachable = True
-                self._extend_lease(sent_at + LEASE_S)
+                if answer.supports:
+                    self._extend_lease(sent_at + LEASE_S)
                 self.replicator.pump(now)
 
         def failed(now: float) -> None:
--- a/rooklug/core/node.py
+++ b/rooklug/core/node.py
@@ -90,6 +90,9 @@
         self.failure = ""
         self._stopping = False
         self._candidate_after = 0.0
+        # The primary of the newest view known, restarted: no lease but its own can stand in
+        # its way, and that one ended with its process.
+        self._was_primary = False
         self._patience = self._random.uniform(0.0, FAILOVER_JITTER_S)
         self._call_handlers = {
             wire.PrepareRequest: self.witness.on_prepare,
@@ -165,6 +168,7 @@
         reason = found.reason or (f"the log is damaged: {problem}" if problem else "")
         if found.witness is not None and not reason:
             self.witness.load(found.witness, now)
+            self._was_primary = self.witness.leader == found.witness.own
         else:
             own = new_disk(self.peers.own_id, event, self._context.incarnation)
             self.outbox.log("warning", "this disk begins a new life", reason=reason)
@@ -202,6 +206,8 @@
             return False
         if self.disk.oldest_age(now) >= SYNC_DEADLINE_S / 2:
             return False
+        if self._was_primary:
+            return now >= self._candidate_after
         rank = state.view.in_sync.index(state.own)
         patience = self._patience + rank * FAILOVER_STEP_S
         return now >= max(self.witness.heard_at + QUIET_S, self._candidate_after) + patience
@@ -219,11 +225,13 @@
         self.changes.append_ready(now)
 
     def _on_round_failed(self, reason: str, now: float) -> None:
+        self._was_primary = False
         self.outbox.log("info", "a view change failed", reason=reason)
         self._candidate_after = now + RETRY_S
         self._patience = self._random.uniform(0.0, RETRY_JITTER_S)
 
     def _on_heard(self, epoch: int, primary_id: str, now: float) -> None:
+        self._was_primary = False
         deposed = self.leader.view is not None and epoch > self.leader.epoch
         if deposed and primary_id != self.peers.own_id:
             self.leader.stop("another core leads", now)
--- a/rooklug/core/witness.py
+++ b/rooklug/core/witness.py
@@ -43,7 +43,8 @@
     def load(self, state: WitnessState, now: float) -> None:
         """Start from a state that is on disk: an earlier life may have granted quiet time."""
         self.state = state
-        self.leader = None
+        self.leader = _primary_disk(state.view)
+        self.leader_epoch = state.accepted_epoch
         self.heard_at = now
 
     def begin_anew(self, state: WitnessState, now: float) -> None:
@@ -183,6 +184,17 @@
             self._disk.append(WITNESS_FILE, [record], now)
 
 
+def _primary_disk(view: View | None) -> MemberDisk | None:
+    """Return the disk of a view's primary.
+
+    A witness counts towards a lease only under a view that it has accepted durably, so after
+    a restart the quiet time can only be that primary's, and its own proposal ends it.
+    """
+    if view is None:
+        return None
+    return next((disk for disk in view.in_sync if disk.core_id == view.primary_id), None)
+
+
 def blank_state(own: MemberDisk, folder_identity: str) -> WitnessState:
     """Return the state of a witness that has never voted."""
     return attrs.evolve(WitnessState(own), folder_identity=folder_identity)
--- a/rooklug/gateway/answers.py
+++ b/rooklug/gateway/answers.py
@@ -12,6 +12,7 @@
     NOT_READY = ("not_ready", 503)
     NO_ROUTE = ("no_route", 404)
     NOT_RUN = ("not_run", 503)
+    ENDING = ("ending", 503)
     MAY_HAVE_RUN = ("may_have_run", 502)
     TIMED_OUT = ("timed_out", 504)
 
@@ -25,6 +26,11 @@
         """The HTTP status."""
         return self.value[1]
 
+    @property
+    def is_promise(self) -> bool:
+        """Whether it says that the request has not run and never will."""
+        return self.status == 503
+
 
 def error_answer(
     http_id: int, error: GatewayError, headers: dict[str, str], retry_after_s: float = 0.0
--- a/rooklug/gateway/build.py
+++ b/rooklug/gateway/build.py
@@ -36,7 +36,9 @@
     keeper = GatewayViewKeeper()
     gate = ColdGate(settings.node_id, limits.cold_burst_slack)
     decision = Decision(settings.region, settings.zone, context.random, gate)
-    executor = GatewayExecutor(decision, dialect.headers, context.identifiers, limits.retry_budget)
+    executor = GatewayExecutor(
+        decision, dialect.headers, context.identifiers, limits.retry_budget, limits.grace_s
+    )
     lifecycle = Lifecycle(core_link, executor.active, limits.grace_s)
     return CompositeReducer(
         [
--- a/rooklug/gateway/decision.py
+++ b/rooklug/gateway/decision.py
@@ -5,17 +5,20 @@
 import attrs
 import xxhash
 
-from rooklug.front.health import ReplicaHealth
 from rooklug.front.outcomes import AttemptOutcome
 from rooklug.gateway.cold_gate import ColdGate
 from rooklug.gateway.document import Route, Service
+from rooklug.gateway.prefix_table import PrefixTable
+from rooklug.gateway.replica_load import ReplicaLoad
 from rooklug.gateway.requests import PassedRequest
 from rooklug.gateway.view import GatewayReplica, GatewayView
 
-FULL_SHARE = 1.5
-"""A replica with more than this times its even share of this front's requests is passed over."""
-AFFINITY_ALLOWANCE = 4
-"""So many requests more than the even share a replica may have before that counts."""
+READ_AGAIN_WEIGHT = 3.0
+"""A shared token read again costs as much as waiting for so many tokens of others."""
+LIKELY_HELD_SHARE = 0.5
+"""Weight of a token at the replica that all fronts agree on: another front may have sent it."""
+RUNNING_TOKENS = 60.0
+"""A running request slows the others as much as so many prompt tokens."""
 RETRY_AFTER_COLD_S = 0.5
 RETRY_AFTER_NO_REPLICA_S = 1.0
 
@@ -38,14 +41,6 @@
 Verdict = ServeAt | Refuse
 
 
-@attrs.define
-class ReplicaLoad:
-    """What this front knows of a replica by itself."""
-
-    health: ReplicaHealth = attrs.field(factory=ReplicaHealth)
-    running: int = 0
-
-
 @attrs.define(eq=False)
 class Decision:
     """Chooses service, region and replica. Only ``sent`` and ``ended`` change its counts."""
@@ -56,6 +51,7 @@
     cold_gate: ColdGate
     view: GatewayView = attrs.field(factory=GatewayView)
     loads: dict[str, ReplicaLoad] = attrs.field(factory=dict)
+    prefixes: PrefixTable = attrs.field(factory=PrefixTable)
 
     def service_for(self, request: PassedRequest, route: Route) -> Service:
         """Return the service that a request draws by the route's weights."""
@@ -86,6 +82,7 @@
         if not usable:
             return Refuse("no replica", RETRY_AFTER_NO_REPLICA_S)
         healthy = [replica for replica in usable if not self._is_ejected(replica, now)]
+        healthy = [r for r in healthy if not self._load(r).is_silent(now)] or healthy
         open_ones = [replica for replica in healthy if self._may_send(replica, service, now)]
         if not open_ones and not healthy:
             open_ones = [replica for replica in usable if self._may_send(replica, service, now)]
@@ -97,16 +94,33 @@
                 return ServeAt(self._pick(request, route, service, candidates, now))
         return ServeAt(self._pick(request, route, service, open_ones, now))
 
-    def sent(self, replica: GatewayReplica, service: Service, now: float) -> None:
+    def sent(
+        self,
+        call_id: int,
+        request: PassedRequest,
+        replica: GatewayReplica,
+        service: Service,
+        now: float,
+    ) -> None:
         """Count a request that goes out."""
-        self._load(replica).running += 1
+        missing = self.prefixes.missing(replica.replica_id, request.parts, now)
+        self._load(replica).sent(call_id, missing, now)
+        if service.engine is not None:
+            memory = service.engine.key_value_tokens
+            self.prefixes.used(replica.replica_id, request.parts, memory, now)
         if replica.is_cold(now):
             self.cold_gate.sent(replica.replica_id, service.cold_rate_per_s, self._front_ids(), now)
 
-    def ended(self, replica: GatewayReplica, outcome: AttemptOutcome | None, now: float) -> None:
+    def heard(self, call_id: int, replica: GatewayReplica, now: float) -> None:
+        """Note bytes of an answer."""
+        self._load(replica).heard(call_id, now)
+
+    def ended(
+        self, call_id: int, replica: GatewayReplica, outcome: AttemptOutcome | None, now: float
+    ) -> None:
         """Count the end of a request; None says nothing about the replica."""
         load = self._load(replica)
-        load.running = max(load.running - 1, 0)
+        load.ended(call_id, now)
         if outcome is AttemptOutcome.SUCCESS:
             load.health.succeeded()
         elif outcome is not None:
@@ -120,6 +134,7 @@
             key: load for key, load in self.loads.items() if key in listed or load.running
         }
         self.cold_gate.forget_except(listed)
+        self.prefixes.forget_except(listed)
 
     def _region_levels(
         self, request: PassedRequest, route: Route, service: Service
@@ -147,23 +162,26 @@
         now: float,
     ) -> GatewayReplica:
         if route.affinity and request.parts:
-            return self._pick_by_affinity(request, candidates)
+            return self._pick_by_cost(request, candidates, now)
         return min(candidates, key=lambda r: (self._running(r), r.zone != self.zone, self._tie()))
 
-    def _pick_by_affinity(
-        self, request: PassedRequest, candidates: list[GatewayReplica]
+    def _pick_by_cost(
+        self, request: PassedRequest, candidates: list[GatewayReplica], now: float
     ) -> GatewayReplica:
-        """Return the replica that holds the shared parts, unless it has more than its share."""
+        """Return the replica with the least to read and to wait for, in prompt tokens."""
         shared = request.parts[:-1] or request.parts
-        key = ",".join(part.part_id for part in shared)
-        ranked = sorted(
-            candidates,
-            key=lambda r: xxhash.xxh64_intdigest(f"{key}/{r.replica_id}".encode()),
-            reverse=True,
-        )
-        even = sum(self._running(r) for r in candidates) / len(candidates)
-        bound = even * FULL_SHARE + AFFINITY_ALLOWANCE
-        return next((r for r in ranked if self._running(r) < bound), ranked[0])
+        likely = max(candidates, key=lambda r: _rank(shared[-1].part_id, r.replica_id))
+
+        def cost(replica: GatewayReplica) -> tuple[float, bool, int]:
+            load = self._load(replica)
+            again = READ_AGAIN_WEIGHT * self.prefixes.missing(replica.replica_id, shared, now)
+            if replica is likely:
+                again *= LIKELY_HELD_SHARE
+            waiting = load.waiting_tokens + RUNNING_TOKENS * load.running
+            rank = _rank(shared[-1].part_id, replica.replica_id)
+            return (again + waiting, replica.zone != self.zone, -rank)
+
+        return min(candidates, key=cost)
 
     def _may_send(self, replica: GatewayReplica, service: Service, now: float) -> bool:
         if not replica.is_cold(now):
@@ -172,6 +190,10 @@
             replica.replica_id, service.cold_rate_per_s, self._front_ids(), now
         )
 
+    def is_silent(self, replica: GatewayReplica, now: float) -> bool:
+        """Tell whether a replica owes answers and says nothing at all."""
+        return self._load(replica).is_silent(now)
+
     def _is_ejected(self, replica: GatewayReplica, now: float) -> bool:
         load = self.loads.get(replica.replica_id)
         if load is None:
@@ -190,3 +212,8 @@
 
     def _tie(self) -> float:
         return self.random.random()
+
+
+def _rank(key: str, replica_id: str) -> int:
+    """Return a rendezvous hash: all fronts rank the replicas of a key alike."""
+    return xxhash.xxh64_intdigest(f"{key}/{replica_id}".encode())
--- a/rooklug/gateway/directory.py
+++ b/rooklug/gateway/directory.py
@@ -1,6 +1,7 @@
 """Tells clients which fronts to connect to, and the platform whether this front is ready."""
 
 import json
+import math
 
 from rooklug.engine import effects as fx
 from rooklug.engine import events as ev
@@ -14,6 +15,10 @@
 READINESS_LISTENER = "readiness"
 MAX_ADDRESSES = 64
 LEAST_FRONTS = 2
+"""A place with fewer ready fronts sends its clients to a wider one."""
+FRONTS_SHARE = 1 / 3
+"""Part of a place's fronts that its clients are sent to: fewer fronts know more of the load of
+each replica and of what it holds, and keep fewer connections; the rest stand by."""
 _JSON = {"content-type": "application/json"}
 
 
@@ -78,6 +83,12 @@
     allowed = [node for node in fronts if not homes or node.region in homes] or fronts
     in_zone = [node for node in allowed if node.zone == question.zone]
     if len(in_zone) >= LEAST_FRONTS:
-        return in_zone
+        return _some(in_zone)
     in_region = [node for node in allowed if node.region == question.region]
-    return in_region or allowed
+    return _some(in_region) or allowed
+
+
+def _some(fronts: list[NodeRecord]) -> list[NodeRecord]:
+    """Return the part of the fronts that takes traffic, the same in every opinion."""
+    count = max(LEAST_FRONTS, math.ceil(len(fronts) * FRONTS_SHARE))
+    return sorted(fronts, key=lambda node: node.node_id)[:count]
--- a/rooklug/gateway/executor.py
+++ b/rooklug/gateway/executor.py
@@ -30,9 +30,21 @@
 DEADLINE_SLACK_S = 0.03
 LEAST_TIME_TO_SEND_S = 0.01
 MAX_UNSENT_TRIES = 4
-RETRY_AFTER_START_S = 0.5
+# A front that starts has usually heard of everything after this time.
+USUAL_START_S = 1.8
+LEAST_RETRY_AFTER_S = 0.3
 RETRY_AFTER_FULL_S = 0.5
+# Clients wait for at most a third of their time: what is asked must be less.
+RETRY_AFTER_SHARE = 0.3
+# A front that ends takes new requests for so long, and later ones only if they fit.
+TAKEN_WHILE_ENDING_S = 2.8
+END_RESERVE_S = 0.8
+WATCH_S = 0.25
+# A resumable stream that says nothing for so long goes on at another replica.
+STALLED_S = 1.0
+_WATCH_TIMER = "watch"
 NOT_EXECUTED_STATUSES = frozenset({400, 421, 429, 503})
+LOWEST_PRIORITY = 9
 MAX_REFUSAL_BYTES = 64 * 1024
 
 
@@ -61,6 +73,7 @@
         names: HeaderNames,
         identifiers: Identifiers,
         budget: RetryBudgetSettings,
+        grace_s: float = 8.0,
     ) -> None:
         self._decision = decision
         self._names = names
@@ -69,8 +82,10 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._by_http: dict[int, Passage] = {}
         self._by_call: dict[int, Passage] = {}
-        self._draining = False
-        self.last_arrival_at = 0.0
+        self._grace_s = grace_s
+        self._started_at = 0.0
+        self._ending_since: float | None = None
+        self._watching = False
         self.figures = GatewayFigures()
 
     def active(self) -> int:
@@ -94,8 +109,12 @@
                 return self._failed(event, now)
             case ev.HttpRequestClosed():
                 return self._client_left(event, now)
+            case ev.TimerFired():
+                return self._watch(now)
+            case ev.Started():
+                self._started_at = now
             case ev.StopRequested():
-                self._draining = True
+                self._ending_since = now
             case ViewChanged():
                 self._decision.take_view(event.view)
         return []
@@ -111,18 +130,30 @@
 
     def _arrived(self, event: ev.HttpRequestArrived, now: float) -> list[fx.Effect]:
         self.figures.arrived += 1
-        self.last_arrival_at = now
         request = read_request(event, self._names)
         configuration = self._decision.view.configuration
-        if configuration is None:
-            return self._refuse(request, GatewayError.NOT_READY, RETRY_AFTER_START_S)
+        if configuration is None or not self._decision.view.is_listed:
+            wait_s = self._started_at + USUAL_START_S - now
+            return self._refuse(request, GatewayError.NOT_READY, wait_s)
         route = configuration.find(request.host, request.path)
         if route is None:
             return self._refuse(request, GatewayError.NO_ROUTE)
         passage = self._passage(request, route, now)
+        if not self._may_take(passage, now):
+            return self._refuse(request, GatewayError.ENDING, LEAST_RETRY_AFTER_S)
         self._by_http[request.http_id] = passage
         self._budget(passage).count_request(now)
-        return [Notify(RequestCounted(request, passage.service.name)), *self._send(passage, now)]
+        return [
+            Notify(RequestCounted(request, passage.service.name)),
+            *self._send(passage, now),
+            *self._start_watch(),
+        ]
+
+    def _may_take(self, passage: Passage, now: float) -> bool:
+        """Tell whether a request can be finished before this process ends."""
+        if self._ending_since is None or now <= self._ending_since + TAKEN_WHILE_ENDING_S:
+            return True
+        return passage.ends_at <= self._ending_since + self._grace_s - END_RESERVE_S
 
     def _passage(self, request: PassedRequest, route: Route, now: float) -> Passage:
         patience_s = route.timeout_s
@@ -157,7 +188,7 @@
         passage.sent_at = now
         passage.call_id = self._identifiers.next()
         self._by_call[passage.call_id] = passage
-        self._decision.sent(replica, passage.service, now)
+        self._decision.sent(passage.call_id, passage.request, replica, passage.service, now)
         return [self._call(passage, now)]
 
     def _call(self, passage: Passage, now: float) -> fx.HttpCall:
@@ -167,6 +198,7 @@
         headers["host"] = request.host
         headers[names.deadline_ms] = str(int(left_s * 1000))
         headers[names.expected_replica] = replica.replica_id
+        headers[names.priority] = str(min(passage.route.priority, LOWEST_PRIORITY))
         if passage.last_event_id:
             headers[names.resume_after] = passage.last_event_id
         return fx.HttpCall(
@@ -193,14 +225,14 @@
         self, passage: Passage, status: int, headers: dict[str, str], body: bytes, now: float
     ) -> list[fx.Effect]:
         if self._is_not_executed(status, headers):
-            self._decision.ended(passage.replica, None, now)
+            self._ended_at_replica(passage, None, now)
             return self._not_executed(passage, status, headers, body, now)
         if not self._is_ours(passage, headers):
-            self._decision.ended(passage.replica, AttemptOutcome.BROKEN, now)
+            self._ended_at_replica(passage, AttemptOutcome.BROKEN, now)
             passage.may_have_run = True
             return self._try_again(passage, now)
         outcome = AttemptOutcome.SUCCESS if status < 500 else AttemptOutcome.BROKEN
-        self._decision.ended(passage.replica, outcome, now)
+        self._ended_at_replica(passage, outcome, now)
         return self._respond(passage, status, headers, body)
 
     def _not_executed(
@@ -216,6 +248,8 @@
         passage = self._by_call.get(event.call_id)
         if passage is None:
             return []
+        self._decision.heard(event.call_id, passage.replica, now)
+        passage.heard_at = now
         passage.status = event.status
         passage.headers = event.headers
         passage.failure_body = []
@@ -223,11 +257,11 @@
             return []
         if not self._is_ours(passage, event.headers):
             self._by_call.pop(event.call_id)
-            self._decision.ended(passage.replica, AttemptOutcome.BROKEN, now)
+            self._ended_at_replica(passage, AttemptOutcome.BROKEN, now)
             passage.may_have_run = True
             return [fx.CancelHttpCall(event.call_id), *self._try_again(passage, now)]
         if passage.stage is Stage.STREAMING:
-            return []
+            return []  # it goes on under the head of its first replica
         passage.stage = Stage.STREAMING
         headers = self._towards_client(event.headers)
         return [fx.HttpStreamStart(passage.request.http_id, event.status, headers)]
@@ -239,6 +273,8 @@
         if not 200 <= passage.status < 300:
             passage.failure_body.append(event.data)
             return []
+        self._decision.heard(event.call_id, passage.replica, now)
+        passage.heard_at = now
         data = passage.tail + event.data
         whole = complete_length(data)
         passage.tail = data[whole:]
@@ -255,9 +291,9 @@
             body = b"".join(passage.failure_body)[:MAX_REFUSAL_BYTES]
             return self._whole_answer(passage, passage.status, passage.headers, body, now)
         if passage.tail:  # the end came within an event
-            self._decision.ended(passage.replica, AttemptOutcome.BROKEN, now)
+            self._ended_at_replica(passage, AttemptOutcome.BROKEN, now)
             return self._stream_broke(passage, now)
-        self._decision.ended(passage.replica, AttemptOutcome.SUCCESS, now)
+        self._ended_at_replica(passage, AttemptOutcome.SUCCESS, now)
         self._forget(passage)
         self.figures.answered += 1
         return [fx.HttpStreamEnd(passage.request.http_id)]
@@ -267,21 +303,26 @@
         if passage is None:
             return []
         if event.send_state is ev.SendState.NOT_SENT:
-            self._decision.ended(passage.replica, AttemptOutcome.CONNECT_FAILED, now)
+            self._ended_at_replica(passage, AttemptOutcome.CONNECT_FAILED, now)
             passage.sends -= 1  # it reached no replica
             if len(passage.tried) >= MAX_UNSENT_TRIES:
                 return self._give_up(passage, now, RETRY_AFTER_FULL_S)
             return self._send(passage, now)
-        timed_out = passage.left_s(now) <= 0
+        timed_out = passage.left_s(now) <= LEAST_TIME_TO_SEND_S
         outcome = AttemptOutcome.TIMED_OUT if timed_out else AttemptOutcome.BROKEN
-        self._decision.ended(passage.replica, outcome, now)
+        self._ended_at_replica(passage, outcome, now)
         passage.may_have_run = True
         if passage.stage is Stage.STREAMING:
             return self._stream_broke(passage, now)
         return self._try_again(passage, now)
 
     def _stream_broke(self, passage: Passage, now: float) -> list[fx.Effect]:
-        """End the client's answer visibly broken."""
+        """Go on at another replica if the route allows it, else end visibly broken."""
+        passage.tail = b""
+        passage.may_have_run = True
+        return self._try_again(passage, now)
+
+    def _break_off(self, passage: Passage) -> list[fx.Effect]:
         self.figures.broken += 1
         self._forget(passage)
         return [fx.HttpStreamAbort(passage.request.http_id)]
@@ -297,14 +338,51 @@
         passage = self._by_http.pop(event.request_id, None)
         if passage is None or self._by_call.pop(passage.call_id, None) is None:
             return []
-        self._decision.ended(passage.replica, None, now)
+        self._ended_at_replica(passage, None, now)
         return [fx.CancelHttpCall(passage.call_id)]
 
+    # Silence --------------------------------------------------------------
+
+    def _start_watch(self) -> list[fx.Effect]:
+        if self._watching:
+            return []
+        self._watching = True
+        return [fx.StartTimer(_WATCH_TIMER, WATCH_S)]
+
+    def _watch(self, now: float) -> list[fx.Effect]:
+        """Move repeatable requests away from replicas that say nothing."""
+        self._watching = False
+        effects = [
+            effect
+            for passage in list(self._by_call.values())
+            if self._is_stalled(passage, now)
+            for effect in self._move(passage, now)
+        ]
+        return effects + (self._start_watch() if self._by_http else [])
+
+    def _is_stalled(self, passage: Passage, now: float) -> bool:
+        if not passage.route.is_repeatable or passage.sends >= passage.route.max_replicas:
+            return False
+        if passage.stage is Stage.STREAMING:
+            return now - passage.heard_at > STALLED_S
+        return self._decision.is_silent(passage.replica, now)
+
+    def _move(self, passage: Passage, now: float) -> list[fx.Effect]:
+        fronts = len(self._decision.view.ready_fronts())
+        if not self._budget(passage).may_repeat(fronts, now):
+            return []
+        call_id = passage.call_id
+        self._by_call.pop(call_id, None)
+        self._ended_at_replica(passage, AttemptOutcome.TIMED_OUT, now)
+        return [fx.CancelHttpCall(call_id), *self._stream_broke(passage, now)]
+
     # To the client --------------------------------------------------------
 
     def _respond(
         self, passage: Passage, status: int, headers: dict[str, str], body: bytes
     ) -> list[fx.Effect]:
+        if passage.stage is Stage.STREAMING:
+            return self._break_off(passage)
         self._forget(passage)
         self.figures.answered += 1
         headers = self._towards_client(headers)
@@ -312,6 +390,8 @@
 
     def _give_up(self, passage: Passage, now: float, retry_after_s: float = 0.0) -> list[fx.Effect]:
         """Give the final answer at once."""
+        if passage.stage is Stage.STREAMING:
+            return self._break_off(passage)
         self._forget(passage)
         if passage.left_s(now) <= LEAST_TIME_TO_SEND_S:
             return self._refuse(passage.request, GatewayError.TIMED_OUT)
@@ -329,14 +409,23 @@
         headers = self._towards_client({})
         if request.request_id:
             headers[self._names.request_id] = request.request_id
+        if error.is_promise:
+            retry_after_s = max(retry_after_s, LEAST_RETRY_AFTER_S)
+            if request.deadline_s is not None:
+                retry_after_s = min(retry_after_s, request.deadline_s * RETRY_AFTER_SHARE)
         return [error_answer(request.http_id, error, headers, retry_after_s)]
 
     def _towards_client(self, headers: dict[str, str]) -> dict[str, str]:
         passed = end_to_end(headers)
-        if self._draining:
+        if self._ending_since is not None:
             passed["connection"] = "close"
         return passed
 
+    def _ended_at_replica(
+        self, passage: Passage, outcome: AttemptOutcome | None, now: float
+    ) -> None:
+        self._decision.ended(passage.call_id, passage.replica, outcome, now)
+
     def _forget(self, passage: Passage) -> None:
         self._by_http.pop(passage.request.http_id, None)
         self._by_call.pop(passage.call_id, None)
--- a/rooklug/gateway/passage.py
+++ b/rooklug/gateway/passage.py
@@ -4,7 +4,6 @@
 
 import attrs
 
-from rooklug.front.outcomes import AttemptOutcome
 from rooklug.gateway.document import Execution, Route, Service
 from rooklug.gateway.requests import PassedRequest
 from rooklug.gateway.view import GatewayReplica
@@ -42,6 +41,7 @@
     tail: bytes = b""
     failure_body: list[bytes] = attrs.field(factory=list)
     last_event_id: str = ""
+    heard_at: float = 0.0
 
     @property
     def is_stream(self) -> bool:
@@ -57,8 +57,3 @@
         if self.sends >= self.route.max_replicas:
             return False
         return not self.may_have_run or self.route.is_repeatable
-
-
-def judged(outcome: AttemptOutcome, not_executed: bool) -> AttemptOutcome | None:
-    """Return what an end says of the replica: a refusal of a full one says nothing."""
-    return None if not_executed else outcome
--- a/rooklug/gateway/patching.py
+++ b/rooklug/gateway/patching.py
@@ -54,7 +54,9 @@
         return [Problem("$", "must be an object")]
     problems = []
     for part in ("upsert", "remove"):
-        value = patch.get(part) or {}
+        value = patch.get(part)
+        if value is None:
+            continue
         if not isinstance(value, dict):
             problems.append(Problem(f"$.{part}", "must be an object of lists"))
             continue
--- a/rooklug/gateway/region_planner.py
+++ b/rooklug/gateway/region_planner.py
@@ -30,6 +30,7 @@
     PlacementProblem,
     RegionFacts,
     ReplicaSlot,
+    RouteShare,
 )
 from rooklug.wire.generated.control.ttypes import (
     DemandAnswer,
@@ -44,7 +45,7 @@
 REPORT_VALID_S = 8.0
 """A front's demand counts for so long; a quiet front reports nothing."""
 ASSUMED_ROUND_TRIP_MS = 50.0
-"""Between regions: within "continental", beyond "zonal"."""
+"""Between regions: beyond "zonal", so that a plan keeps traffic near while it can."""
 PROMPT_TOKENS_A_LOAD_TOKEN = 8.0
 LOAD_TOKENS_A_SLOT_S = 40.0
 """What a slot sustains, in load tokens (prompt/8 + answer); a default of ours."""
@@ -196,7 +197,7 @@
         self._ticket = 0
         if event.error or not self._epoch:
             return [fx.Log("error", "a plan failed", {"error": event.error})] if event.error else []
-        cells = [_cell(share) for share in event.result.matrix]
+        cells = _cells(event.result.matrix)
         weights = {
             (c.model, c.source_region, tuple(c.home_regions), c.destination_region, c.preference): (
                 c.weight
@@ -240,14 +241,27 @@
     )
 
 
-def _cell(share) -> RouteWeight:
+def _cells(matrix: tuple[RouteShare, ...]) -> list[RouteWeight]:
+    """Return the matrix for fronts: planned traffic first, by its amounts, also the late part.
+
+    Fronts of a gateway don't know how full a region is, so a spill that the plan counts on
+    must be a weight of the first preference.
+    """
+    totals: dict[DemandKey, float] = defaultdict(float)
+    for share in matrix:
+        totals[share.demand_key] += share.planned
+    return [_cell(share, totals[share.demand_key]) for share in matrix]
+
+
+def _cell(share: RouteShare, total: float) -> RouteWeight:
     key = share.demand_key
+    planned = total > 0 and share.planned > 0
     return RouteWeight(
         model=key.model,
         latency_class=key.latency_class,
         source_region=key.source_region,
         destination_region=share.destination_region,
-        preference=share.preference,
-        weight=share.weight,
+        preference=0 if planned else share.preference + (total > 0),
+        weight=share.planned / total if planned else share.weight,
         home_regions=list(key.home_regions),
     )
--- a/rooklug/placement/matrix.py
+++ b/rooklug/placement/matrix.py
@@ -27,6 +27,7 @@
     region: str
     preference: int
     amount: float
+    planned: float
 
 
 def build_matrix(
@@ -74,7 +75,7 @@
     for place in hosts:
         load = planned.get(place.region, 0.0)
         amount = load if load > LOAD_EPSILON else capacity[key.model, place.region]
-        cells.append(_Cell(place.region, _preference(place, load, planned, hosts), amount))
+        cells.append(_Cell(place.region, _preference(place, load, planned, hosts), amount, load))
     return _normalised(key, cells)
 
 
@@ -96,6 +97,8 @@
     for cell in cells:
         totals[cell.preference] = totals.get(cell.preference, 0.0) + cell.amount
     return [
-        RouteShare(key, cell.region, cell.preference, cell.amount / totals[cell.preference])
+        RouteShare(
+            key, cell.region, cell.preference, cell.amount / totals[cell.preference], cell.planned
+        )
         for cell in sorted(cells, key=lambda cell: (cell.preference, cell.region))
     ]
--- a/rooklug/placement/problem.py
+++ b/rooklug/placement/problem.py
@@ -60,12 +60,13 @@
 
 @attrs.frozen
 class RouteShare:
-    """One cell of the routing matrix."""
+    """One cell of the routing matrix. ``planned`` is the load (tokens/s) that the plan sends."""
 
     demand_key: DemandKey
     destination_region: str
     preference: int
     weight: float
+    planned: float = 0.0
 
 
 @attrs.frozen
--- /dev/null
+++ b/tests/test_gateway_limits.py
@@ -0,0 +1,83 @@
+import unittest
+from collections import Counter
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rooklug.gateway.cold_gate import ColdGate, chosen_fronts
+from rooklug.gateway.retry_budget import RetryBudget, RetryBudgetSettings
+
+
+def busiest_second(times: list[float]) -> int:
+    return max((sum(t <= other < t + 1.0 for other in times) for t in times), default=0)
+
+
+class ColdReplicas(unittest.TestCase):
+    """Oracle: all fronts together, pressed without a pause, in any one second."""
+
+    def pressed(self, fronts: int, rate: float, slack: int) -> int:
+        ids = [f"front-{n}" for n in range(fronts)]
+        gates = [ColdGate(front_id, slack) for front_id in ids]
+        times = []
+        for step in range(600):
+            now = step / 200
+            for gate in gates:
+                if gate.may_send("r", rate, ids, now):
+                    gate.sent("r", rate, ids, now)
+                    times.append(now)
+        self.assertTrue(times)
+        return busiest_second(times)
+
+    def test_any_number_of_fronts_stays_below_the_bound(self):
+        for fronts in (1, 5, 11, 83):
+            for rate, slack in ((10.0, 5), (2.0, 3), (40.0, 5)):
+                with self.subTest(fronts=fronts, rate=rate, slack=slack):
+                    self.assertLessEqual(self.pressed(fronts, rate, slack), rate * 1.5 + slack)
+
+    def test_a_front_that_is_not_listed_counts_itself_among_the_senders(self):
+        gate = ColdGate("front-9", 1)
+        ids = ["front-1", "front-2"]
+        expected = chosen_fronts("r", [*ids, "front-9"], 1) == ["front-9"]
+        self.assertEqual(gate.may_send("r", 5.0, ids, 0.0), expected)
+
+    def test_every_cold_replica_has_a_sender(self):
+        ids = [f"front-{n}" for n in range(11)]
+        senders = Counter()
+        for number in range(50):
+            able = [i for i in ids if ColdGate(i, 5).may_send(f"r-{number}", 1.0, ids, 0.0)]
+            self.assertEqual(len(able), 5)
+            senders.update(able)
+        self.assertEqual(len(senders), 11)
+
+    def test_a_service_without_a_cold_rate_is_not_limited(self):
+        gate = ColdGate("front-1")
+        for _ in range(100):
+            self.assertTrue(gate.may_send("r", 0.0, [], 0.0))
+            gate.sent("r", 0.0, [], 0.0)
+
+
+class Retries(unittest.TestCase):
+    @given(st.lists(st.tuples(st.floats(0, 40), st.integers(0, 4)), max_size=300))
+    @settings(max_examples=100, deadline=None)
+    def test_all_fronts_together_keep_the_budget_in_every_window(self, arrivals):
+        bounds = RetryBudgetSettings(ratio=0.2, window_s=10.0, slack=20.0)
+        budgets = [RetryBudget(bounds) for _ in range(5)]
+        requests, repeats = [], []
+        for at, number in sorted(arrivals):
+            budgets[number].count_request(at)
+            requests.append(at)
+            while budgets[number].may_repeat(len(budgets), at):
+                budgets[number].count_repeat(at)
+                repeats.append(at)
+        for start in repeats:
+            spent = sum(start <= t <= start + bounds.window_s for t in repeats)
+            counted = [
+                sum(begin <= t <= begin + bounds.window_s for t in requests)
+                for begin in (start, start - bounds.window_s, start - bounds.window_s / 2)
+            ]
+            self.assertLessEqual(spent, bounds.ratio * max(counted) + bounds.slack)
+
+    def test_a_front_that_knows_of_nobody_spends_no_slack(self):
+        budget = RetryBudget(RetryBudgetSettings(ratio=0.2, slack=1000.0))
+        budget.count_request(0.0)
+        self.assertFalse(budget.may_repeat(0, 0.0))
