--- a/tests/test_gateway_executor.py
+++ b/tests/test_gateway_executor.py
@@ -177,3 +177,59 @@
         self.assertEqual(self.piece(b"sorry"), [])
         (answer,) = self.front.handle(ev.HttpResponseEnded(self.call.call_id))
         self.assertEqual((answer.status, answer.body), (500, b"sorry"))
+
+
+class Resuming(unittest.TestCase):
+    def setUp(self):
+        route = {**STREAM, "resumable": True, "max_replicas": 2}
+        self.front = GatewayFront([route], [replica(1, "model"), replica(2, "model")])
+        (self.call,) = self.front.request("/s/1", headers={NAMES.deadline_ms: "5000"})
+        self.begin(self.call)
+
+    def begin(self, call):
+        return self.front.handle(ev.HttpResponseStarted(call.call_id, 200, answer_headers(call)))
+
+    def test_a_broken_stream_goes_on_after_its_last_whole_event(self):
+        self.front.handle(ev.HttpBodyPiece(self.call.call_id, b"id: 1\ndata: a\n\nid: 2\nda"))
+        (second,) = self.front.handle(
+            ev.HttpFailed(self.call.call_id, "reset", ev.SendState.RESPONDING)
+        )
+        self.assertNotEqual(second.address, self.call.address)
+        self.assertEqual(second.headers[NAMES.resume_after], "1")
+        self.assertEqual(self.begin(second), [])
+        (piece,) = self.front.handle(ev.HttpBodyPiece(second.call_id, b"id: 2\ndata: b\n\n"))
+        self.assertEqual(piece.data, b"id: 2\ndata: b\n\n")
+        (end,) = self.front.handle(ev.HttpResponseEnded(second.call_id))
+        self.assertIsInstance(end, fx.HttpStreamEnd)
+
+    def test_a_refusal_of_the_second_replica_breaks_the_answer_off(self):
+        (second,) = self.front.handle(
+            ev.HttpFailed(self.call.call_id, "reset", ev.SendState.RESPONDING)
+        )
+        self.front.handle(ev.HttpResponseStarted(second.call_id, 503, BUSY))
+        (end,) = self.front.handle(ev.HttpResponseEnded(second.call_id))
+        self.assertIsInstance(end, fx.HttpStreamAbort)
+
+    def test_a_stream_that_stalls_goes_on_elsewhere(self):
+        self.front.now += 0.5
+        self.assertEqual(self.front.handle(ev.TimerFired("watch")), [])
+        self.front.now += 0.8
+        cancelled, second = self.front.handle(ev.TimerFired("watch"))
+        self.assertEqual(cancelled, fx.CancelHttpCall(self.call.call_id))
+        self.assertNotEqual(second.address, self.call.address)
+
+
+class Ending(unittest.TestCase):
+    def test_late_requests_are_taken_only_if_they_fit_the_grace(self):
+        long = route_item("long", "/long/", timeout_ms=15000)
+        front = GatewayFront([ONCE, long], [replica(1)])
+        front.handle(ev.StopRequested())
+        began = front.now
+        patient = {NAMES.deadline_ms: "15000"}
+        self.assertIsInstance(front.request("/long/1", headers=patient)[0], fx.HttpCall)
+        front.now = began + 4.0
+        self.assertIsInstance(front.request("/pay/1")[0], fx.HttpCall)
+        (answer,) = front.request("/long/1", headers=patient)
+        self.assertEqual((answer.status, answer.headers["connection"]), (503, "close"))
+        front.now = began + 6.0
+        self.assertEqual(front.request("/pay/1")[0].status, 503)
