--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -113,6 +113,7 @@
 struct MembersBody {
   1: required list<NodeRecord> nodes
   2: required list<RoleOwner> role_owners
+  3: optional list<string> core_addresses // internal addresses of all cores
 }
 struct RoleOwner {
   1: required string role_key
@@ -126,6 +127,7 @@
   2: required list<string> gone_nodes          // by node id
   3: required list<RoleOwner> changed_owners
   4: required list<string> gone_roles          // role keys without an owner now
+  5: optional list<string> core_addresses      // as in MembersBody, always whole
 }
 // topic "replicas", published by the platform watcher: what the platform lists
 struct ListedReplica {
--- a/idl/core.thrift
+++ b/idl/core.thrift
@@ -14,11 +14,19 @@
   2: required i64 sequence
 }
 
-// Who is the primary, and whose disks hold every committed change.
+// One of the cores that vote, and its internal address.
+struct CoreMember {
+  1: required string core_id
+  2: required string address
+}
+
+// Who is the primary, whose disks hold every committed change, and who votes.
 struct View {
   1: required i64 epoch
   2: required string primary_id
   3: required list<MemberDisk> in_sync
+  4: optional list<CoreMember> members     // absent: the members of the settings
+  5: optional list<CoreMember> previous    // set: these vote as well, until the next view
 }
 
 // The whole durable state of a witness; the last record of its file counts.
@@ -82,6 +90,7 @@
 struct PrepareRequest {
   1: required MemberDisk proposer
   2: required i64 epoch
+  3: optional bool joining                 // the asked core is to become a member by this view
 }
 struct PrepareAnswer {
   1: required bool granted
@@ -108,6 +117,25 @@
   2: required WitnessRecord state
   3: required LogPosition last
 }
+// A core that is no member asks the primary to make it one.
+struct JoinRequest {
+  1: required CoreMember member
+  2: required MemberDisk disk
+  3: required bool first_start             // one of the cores that the system starts with
+}
+struct JoinAnswer {
+  1: required bool noted                   // the primary will propose it; else ask the address
+  2: required string primary_address
+}
+
+// A member that is being stopped: a core that waits to join may take its place at once.
+struct LeaveRequest {
+  1: required string core_id
+}
+struct LeaveAnswer {
+  1: required bool noted
+}
+
 struct FormViewRequest {
   1: required MemberDisk proposer
   2: required View view
--- a/rooklug/core/announcer.py
+++ b/rooklug/core/announcer.py
@@ -6,6 +6,7 @@
 from rooklug.model.marks import ZERO_MARK, is_newer
 from rooklug.model.notices import (
     ConfigurationCommitted,
+    CoresChanged,
     CoreStatusChanged,
     PrimaryKnown,
     ZonesCommitted,
@@ -22,6 +23,7 @@
         self._configuration = ZERO_MARK
         self._zones = ZERO_MARK
         self._status: CoreStatus | None = None
+        self._addresses: tuple[str, ...] = ()
         self.primary_epoch = 0
         self.primary_id = ""
         self.primary_address = ""
@@ -47,6 +49,12 @@
         self.primary_address = address
         self._outbox.notify(PrimaryKnown(epoch, address))
 
+    def cores(self, addresses: tuple[str, ...]) -> None:
+        """Announce where the voting cores are, when that has changed."""
+        if addresses and addresses != self._addresses:
+            self._addresses = addresses
+            self._outbox.notify(CoresChanged(addresses))
+
     def status(self, status: CoreStatus) -> None:
         """Announce this core's status when it has changed."""
         if status != self._status:
--- a/rooklug/core/constants.py
+++ b/rooklug/core/constants.py
@@ -31,10 +31,16 @@
 REJOIN_BACKOFF_LIMIT_S = 10.0
 STOP_GRACE_S = 0.5
 
-CORE_COUNT = 3
-MAJORITY = 2
+EPOCH_SLOTS = 3
 MINIMUM_IN_SYNC = 2
-FIRST_EPOCH = CORE_COUNT
+FIRST_EPOCH = EPOCH_SLOTS
+# A member that was silent for so long gives its place to a core that wants to join.
+REPLACE_AFTER_S = 1.6
+# A member that was told to stop gives it at once, for so long.
+LEAVING_VALID_S = 10.0
+# A core that wants to join asks so often; older wishes are forgotten.
+JOIN_INTERVAL_S = 0.3
+JOIN_VALID_S = 1.0
 
 MAX_BATCH_BYTES = 1024 * 1024
 ASSUMED_BYTES_PER_S = 4 * 1024 * 1024
--- a/rooklug/core/formation.py
+++ b/rooklug/core/formation.py
@@ -1,4 +1,4 @@
-"""How a core without a vote gets one: the first start of all three, or after a lost disk."""
+"""How a core without a vote gets one: the first start, after a lost disk, or as a new member."""
 
 from collections.abc import Callable
 
@@ -13,6 +13,8 @@
 
 WAITING = "waiting for the other cores"
 FIRST_START = "all three disks are blank: forming the first view"
+NO_FIRST_START = "no core that answers has data, and this is no first start: nothing is formed"
+JOINING = "asks the primary to make it a member"
 DISASTER = (
     "two disks are blank beside one with data: this is no first start; "
     "nothing starts by itself, run the runbook recover"
@@ -28,7 +30,9 @@
         outbox: Outbox,
         witness: Witness,
         on_formed: Callable[[View, float, float], None],
+        first_start: bool,
     ) -> None:
+        self._first_start = first_start
         self._peers = peers
         self._outbox = outbox
         self._witness = witness
@@ -53,8 +57,10 @@
 
     def _read(self, own: object, attempt: int) -> None:
         request = wire.ReadWitnessRequest(reader=disk_to_wire(own))
-        for core_id in self._peers.others:
+        for core_id in self._peers.known_others:
             self._send_read(core_id, request, attempt)
+        if not self._peers.known_others:
+            self._form([], self._read_at)
 
     def _send_read(self, core_id: str, request: wire.ReadWitnessRequest, attempt: int) -> None:
         def answered(answer: wire.ReadWitnessAnswer, now: float) -> None:
@@ -67,18 +73,36 @@
         if not answer.registered:
             self.note = "this disk was replaced by a newer one: empty its data folder"
             return
-        self._states[core_id] = witness_from_wire(answer.state)
-        if len(self._states) == len(self._peers.others):
-            self._decide(now)
+        state = witness_from_wire(answer.state)
+        self._states[core_id] = state
+        if state.view is not None:
+            self._peers.learn(state.view.members)
+            self._peers.learn(state.view.previous)
+        self._decide(now)
+
+    def is_member(self) -> bool:
+        """Tell whether the newest view that was read names this core as a member."""
+        return self._peers.own_id in self._peers.members_of(self._newest_view())
+
+    def _newest_view(self) -> View | None:
+        views = [state.view for state in self._states.values() if state.view is not None]
+        return max(views, key=lambda view: view.epoch, default=None)
 
     def _decide(self, now: float) -> None:
-        states = [self._states[core_id] for core_id in self._peers.others]
-        recovered = witness_rules.recover(self._witness.state, states)
+        newest = self._newest_view()
+        if newest is not None and not self.is_member():
+            self.note = JOINING
+            return
+        members = self._peers.members_of(newest)
+        states = [self._states[core_id] for core_id in sorted(self._states) if core_id in members]
+        recovered = witness_rules.recover(self._witness.state, states, len(members))
         if recovered is not None:
             self._outbox.log("info", "the witness votes again", disk=recovered.own.disk_id)
             self._witness.heard_at = now
             self._witness.save(recovered, now, lambda now: None)
             return
+        if len(states) < len(members) - 1:
+            return
         if not any(state.voting for state in states):
             self._form(states, now)
             return
@@ -94,17 +118,22 @@
         self._witness.save(formed, now, lambda now: None)
 
     def _form(self, states: list[WitnessState], now: float) -> None:
+        if not self._first_start:
+            self.note = NO_FIRST_START
+            return
         self.note = FIRST_START
-        if self._peers.index != 0:
+        if self._peers.own_id != min(self._peers.founders):
             return
         own = self._witness.state.own
         disks = tuple(sorted([own, *(state.own for state in states)]))
-        view = View(FIRST_EPOCH, own.core_id, disks)
+        members = self._peers.founding_members()
+        view = View(FIRST_EPOCH, own.core_id, disks, members)
         self._forming = view
         self._formed = set()
         request = wire.FormViewRequest(proposer=disk_to_wire(own), view=view_to_wire(view))
         for core_id in self._peers.others:
             self._send_form(core_id, request, view, now)
+        self._finish(view, now, now)
 
     def _send_form(
         self, core_id: str, request: wire.FormViewRequest, view: View, sent_at: float
--- /dev/null
+++ b/rooklug/core/joining.py
@@ -0,0 +1,64 @@
+"""How a core that is no member becomes one: it asks the primary until a view names it.
+
+A core comes here when it is new, when the members were changed while it was away, or when it
+is one of more cores than the first view is formed of.
+"""
+
+from rooklug.core.constants import JOIN_INTERVAL_S, MESSAGE_DEADLINE_S
+from rooklug.core.formation import Formation
+from rooklug.core.outbox import Outbox
+from rooklug.core.peers import Peers
+from rooklug.core.records import disk_to_wire, member_to_wire
+from rooklug.core.types import CoreMember
+from rooklug.core.witness import Witness
+from rooklug.wire.generated.core import ttypes as wire
+
+
+class Joining:
+    """Asks all cores that it knows of; those that don't lead name the primary's address."""
+
+    def __init__(
+        self,
+        peers: Peers,
+        outbox: Outbox,
+        witness: Witness,
+        formation: Formation,
+        first_start: bool,
+    ) -> None:
+        self._peers = peers
+        self._outbox = outbox
+        self._witness = witness
+        self._formation = formation
+        self._first_start = first_start
+        self._asked_at = 0.0
+
+    def tick(self, is_led: bool, now: float) -> None:
+        """Ask again from time to time, while no view names this core."""
+        if is_led or now < self._asked_at + JOIN_INTERVAL_S or not self._is_outside():
+            return
+        self._asked_at = now
+        addresses = {self._peers.address(core_id) for core_id in self._peers.known_others}
+        for address in sorted(addresses):
+            self._ask(address, follow=True)
+
+    def _is_outside(self) -> bool:
+        if self._witness.state.voting:
+            # Nobody leads it: perhaps the members were changed without it.
+            return True
+        return not self._formation.is_member()
+
+    def _ask(self, address: str, follow: bool) -> None:
+        own = self._witness.state.own
+        member = CoreMember(own.core_id, self._peers.address(own.core_id))
+        request = wire.JoinRequest(
+            member=member_to_wire(member),
+            disk=disk_to_wire(own),
+            first_start=self._first_start and self._witness.state.view is None,
+        )
+
+        def answered(answer: wire.JoinAnswer, now: float) -> None:
+            known = {self._peers.address(core_id) for core_id in self._peers.addresses}
+            if follow and not answer.noted and answer.primary_address not in {"", *known}:
+                self._ask(answer.primary_address, follow=False)
+
+        self._outbox.call(address, request, MESSAGE_DEADLINE_S, answered)
--- a/rooklug/core/leader.py
+++ b/rooklug/core/leader.py
@@ -2,29 +2,44 @@
 
 from collections.abc import Callable
 
+import attrs
+
 from rooklug.core.constants import (
     DRAIN_LAG_ENTRIES,
     DRAIN_S,
     HEARTBEAT_S,
+    JOIN_VALID_S,
     LEASE_S,
+    LEAVING_VALID_S,
     MESSAGE_DEADLINE_S,
-    MINIMUM_IN_SYNC,
     PRIMARY_PROMISE_GRACE_S,
     REJOIN_BACKOFF_LIMIT_S,
     REJOIN_BACKOFF_S,
+    REPLACE_AFTER_S,
 )
 from rooklug.core.outbox import Outbox
 from rooklug.core.peers import Peers
+from rooklug.core.quorum import majority
 from rooklug.core.records import disk_from_wire, disk_to_wire
 from rooklug.core.replication import Member, Replicator
 from rooklug.core.store import CopyStore
-from rooklug.core.types import View
+from rooklug.core.types import CoreMember, View
 from rooklug.core.views import ViewChanger
 from rooklug.core.witness import NEVER, Witness
+from rooklug.core.witness_rules import MemberChange
 from rooklug.model.notices import PrimaryLeaseExtended, PrimaryStarted, PrimaryStopped
 from rooklug.wire.generated.core import ttypes as wire
 
 
+@attrs.frozen
+class JoinWish:
+    """A core that is no member asks to become one."""
+
+    member: CoreMember
+    first_start: bool
+    at: float
+
+
 class Leader:
     """Active while ``view`` is set and the lease lasts.
 
@@ -42,7 +57,9 @@
         changer: ViewChanger,
         on_committed: Callable[[float], None],
         on_stopped: Callable[[float], None],
+        minimum_copies: int,
     ) -> None:
+        self._minimum_copies = minimum_copies
         self._peers = peers
         self._outbox = outbox
         self._witness = witness
@@ -58,7 +75,11 @@
         self.lease_until = 0.0
         self._found_last = 0
         self._heartbeat_at = 0.0
+        self._own_supported_at = NEVER
         self._draining_since: float | None = None
+        self._wish: JoinWish | None = None
+        self._members_at = 0.0
+        self.leaving: dict[str, float] = {}  # cores that said they are being stopped, and when
         self._rejoin_at: dict[str, float] = {}
         self._backoff_s: dict[str, float] = {}
 
@@ -87,15 +108,19 @@
         """Tell whether acknowledgements of this view count: it has accepted no later one."""
         return (
             self._witness.state.accepted_epoch == self.epoch
-            and len(self.view.in_sync) >= MINIMUM_IN_SYNC
+            and len(self.view.in_sync) >= self.copies_needed()
         )
 
+    def copies_needed(self) -> int:
+        """Return how many disks must hold a change before it is acknowledged."""
+        return min(self._minimum_copies, len(self._peers.members_of(self.view)))
+
     def may_append(self, now: float) -> bool:
         """Tell whether a new change may be appended at this moment."""
         return (
             self.may_serve(now)
             and self.is_newest()
-            and len(self.view.in_sync) >= MINIMUM_IN_SYNC
+            and len(self.view.in_sync) >= self.copies_needed()
             and self._changer.round is None
             and self._draining_since is None
         )
@@ -159,17 +184,21 @@
         self._progressed(now)
         if self.view is not None:
             self._adjust_in_sync(now)
+        if self.view is not None and self._changer.round is None:
+            self._adjust_members(now)
 
     def send_heartbeats(self, now: float) -> None:
         """Renew the lease, and tell everybody what is committed."""
         self._heartbeat_at = now + HEARTBEAT_S
         own = self._witness.state.own
         self._witness.hear(own, self.epoch, now)
+        self._own_supported_at = now
         request = wire.HeartbeatRequest(
             epoch=self.epoch, primary=disk_to_wire(own), committed=self._store.committed
         )
-        for core_id in self._peers.others:
+        for core_id in sorted(self.replicator.members):
             self._send_heartbeat(core_id, request, now)
+        self._renew_lease()
 
     def _send_heartbeat(self, core_id: str, request: wire.HeartbeatRequest, now: float) -> None:
         view, sent_at = self.view, now
@@ -185,7 +214,8 @@
             if answer.ok and answer.voting:
                 member.reachable = True
                 if answer.supports:
-                    self._extend_lease(sent_at + LEASE_S)
+                    member.supported_at = max(member.supported_at, sent_at)
+                    self._renew_lease()
                 self.replicator.pump(now)
 
         def failed(now: float) -> None:
@@ -195,6 +225,18 @@
         address = self._peers.address(core_id)
         self._outbox.call(address, request, MESSAGE_DEADLINE_S, answered, failed)
 
+    def _renew_lease(self) -> None:
+        """The lease runs from the newest send that a majority has answered."""
+        supports = {m.core_id: m.supported_at for m in self.replicator.members.values()}
+        supports[self._peers.own_id] = self._own_supported_at
+        self._extend_lease(
+            min(
+                _majority_time(electorate, supports)
+                for electorate in self._peers.electorates(self.view)
+            )
+            + LEASE_S
+        )
+
     def _extend_lease(self, until: float) -> None:
         if until > self.lease_until:
             self.lease_until = until
@@ -232,7 +274,7 @@
     def _adjust_in_sync(self, now: float) -> None:
         overdue = self.replicator.overdue(now)
         silent = self.replicator.silent(now) | overdue
-        if len(self.view.in_sync) - len(silent) >= MINIMUM_IN_SYNC:
+        if len(self.view.in_sync) - len(silent) >= self.copies_needed():
             overdue = silent
         if overdue:
             self._postpone_rejoin(overdue, now)
@@ -251,8 +293,60 @@
             self._draining_since = None
             self._postpone_rejoin(_ids(candidates), now)
 
+    def wish_to_join(self, member: CoreMember, first_start: bool, now: float) -> None:
+        """Note that a core that is no member wants to be one."""
+        if member.core_id not in self._peers.members_of(self.view):
+            self._wish = JoinWish(member, first_start, now)
+
+    def _adjust_members(self, now: float) -> None:
+        """Take in a core that asks, in the place of one that is silent; one change at a time."""
+        if not self.view.members or not self.serving:
+            return
+        if self.view.previous:
+            self._change_view(frozenset(), now)  # the old members' vote ends with this one
+            return
+        if now < self._members_at:
+            return
+        change = self._member_change(now)
+        if change is not None:
+            self._members_at = now + REJOIN_BACKOFF_S
+            self._outbox.log(
+                "warning",
+                "changes the members",
+                joiner=change.joiner.core_id if change.joiner else "",
+                leaver=change.leaver,
+            )
+            excluded = frozenset({change.leaver} - {""})
+            self._changer.begin(excluded, now, PRIMARY_PROMISE_GRACE_S, change)
+
+    def _member_change(self, now: float) -> MemberChange | None:
+        """Founders add up; a later core waits until it can take somebody's place."""
+        wish, self._wish = self._wish, None
+        if wish is None or now >= wish.at + JOIN_VALID_S:
+            return None
+        if wish.first_start:
+            return MemberChange(wish.member)
+        leaver = self._replaceable(now)
+        return MemberChange(wish.member, leaver) if leaver else None
+
+    def _replaceable(self, now: float) -> str:
+        """Return the member that is gone for longest and whose copy isn't needed, or ""."""
+        in_sync = {disk.core_id for disk in self.view.in_sync}
+        gone = [
+            member
+            for member in self.replicator.members.values()
+            if self._is_gone(member, now)
+            and len(in_sync - {member.core_id}) >= self.copies_needed()
+        ]
+        return min(gone, key=lambda m: m.heard_at).core_id if gone else ""
+
+    def _is_gone(self, member: Member, now: float) -> bool:
+        if now >= member.heard_at + REPLACE_AFTER_S:
+            return True
+        return now < self.leaving.get(member.core_id, NEVER) + LEAVING_VALID_S
+
     def _change_view(self, excluded: frozenset[str], now: float) -> None:
-        self._changer.begin(excluded, now, PRIMARY_PROMISE_GRACE_S)
+        self._changer.begin(excluded, now, PRIMARY_PROMISE_GRACE_S, settled=self.view)
 
     def _may_join(self, member: Member, now: float) -> bool:
         lag = self._store.last.sequence - member.acknowledged
@@ -268,5 +362,11 @@
             self._rejoin_at[core_id] = now + pause
 
 
+def _majority_time(electorate: frozenset[str], supports: dict[str, float]) -> float:
+    """Return the newest time that a majority has supported or passed."""
+    times = sorted((supports.get(core_id, NEVER) for core_id in electorate), reverse=True)
+    return times[majority(len(electorate)) - 1]
+
+
 def _ids(members: list[Member]) -> frozenset[str]:
     return frozenset(member.core_id for member in members)
--- a/rooklug/core/node.py
+++ b/rooklug/core/node.py
@@ -11,6 +11,7 @@
     FAILOVER_STEP_S,
     LEASE_S,
     LOG_FILE,
+    MESSAGE_DEADLINE_S,
     QUIET_S,
     RETRY_JITTER_S,
     RETRY_S,
@@ -23,9 +24,11 @@
 from rooklug.core.documents import DocumentChecker
 from rooklug.core.formation import Formation
 from rooklug.core.http_interface import PREFIX, HttpInterface
+from rooklug.core.joining import Joining
 from rooklug.core.leader import Leader
 from rooklug.core.outbox import Outbox
 from rooklug.core.peers import Peers
+from rooklug.core.records import member_from_wire
 from rooklug.core.recovery import Recovery
 from rooklug.core.startup import new_disk, read_witness
 from rooklug.core.status import core_status
@@ -56,10 +59,11 @@
         self._context = context
         self._random: Random = context.random
         self.peers = Peers(settings.node.node_id, dict(settings.members))
+        self.peers.addresses[settings.node.node_id] = settings.node.internal_address
         self.outbox = Outbox(context.identifiers)
         self.disk = Disk(self.outbox)
         self.store = CopyStore(self.disk)
-        self.witness = Witness(self.outbox, self.disk, self._synced_last)
+        self.witness = Witness(self.outbox, self.disk, self._synced_last, self.peers)
         self.changer = ViewChanger(
             self.peers,
             self.outbox,
@@ -76,11 +80,17 @@
             self.changer,
             self._on_committed,
             self._on_stopped,
+            settings.minimum_copies,
         )
         self.backup = Backup(
             self.outbox, self.witness, self.store, self._on_heard, self._on_diverged
         )
-        self.formation = Formation(self.peers, self.outbox, self.witness, self._on_chosen)
+        self.formation = Formation(
+            self.peers, self.outbox, self.witness, self._on_chosen, settings.first_start
+        )
+        self.joining = Joining(
+            self.peers, self.outbox, self.witness, self.formation, settings.first_start
+        )
         self.recovery = Recovery(
             self.peers, self.outbox, self.witness, self.store, self._is_led, self._on_chosen
         )
@@ -100,6 +110,8 @@
             wire.ReadWitnessRequest: self.witness.on_read,
             wire.FormViewRequest: self.witness.on_form,
             wire.AdoptViewRequest: self.witness.on_adopt,
+            wire.JoinRequest: self._on_join,
+            wire.LeaveRequest: self._on_leave,
             wire.RecoverRequest: self.recovery.on_request,
             wire.HandOverRequest: self.witness.on_hand_over,
             wire.StartViewRequest: self.backup.on_start_view,
@@ -118,6 +130,7 @@
             self.leader.stop("the lease ended", now)
         self._dispatch(event, now)
         self.announcer.committed()
+        self.announcer.cores(self.peers.member_addresses())
         self.announcer.status(core_status(self, now))
         return self.outbox.take()
 
@@ -186,6 +199,7 @@
         if self.disk.oldest_age(now) >= SYNC_DEADLINE_S:
             self.leader.hand_over("its disk is too slow", now)
         self.formation.tick(now)
+        self.joining.tick(self._is_led(now), now)
         self.changer.tick(now)
         self.leader.tick(now)
         self.changes.tick(now)
@@ -258,9 +272,25 @@
 
     def _request_stop(self, now: float) -> None:
         self._stopping = True
+        leave = wire.LeaveRequest(core_id=self.peers.own_id)
+        for core_id in self.peers.others:
+            address = self.peers.address(core_id)
+            self.outbox.call(address, leave, MESSAGE_DEADLINE_S, lambda answer, now: None)
         self.leader.hand_over("it is being stopped", now)
         self.outbox.add(fx.StartTimer(STOP_TIMER, STOP_GRACE_S))
 
+    def _on_join(self, call_id: int, request: wire.JoinRequest, now: float) -> None:
+        leads = self.leader.may_serve(now)
+        if leads:
+            member = member_from_wire(request.member)
+            self.leader.wish_to_join(member, request.first_start, now)
+        address = self.announcer.primary_address
+        self.outbox.answer(call_id, wire.JoinAnswer(noted=leads, primary_address=address))
+
+    def _on_leave(self, call_id: int, request: wire.LeaveRequest, now: float) -> None:
+        self.leader.leaving[request.core_id] = now
+        self.outbox.answer(call_id, wire.LeaveAnswer(noted=True))
+
     def _on_submit(
         self,
         call_id: int,
--- /dev/null
+++ b/rooklug/core/quorum.py
@@ -0,0 +1,27 @@
+"""How many votes are enough, and how many copies."""
+
+from collections.abc import Iterable, Set
+
+
+def majority(count: int) -> int:
+    """Return the least number that is more than half of ``count``."""
+    return count // 2 + 1
+
+
+def is_majority(votes: Set[str], members: Set[str]) -> bool:
+    """Tell whether more than half of ``members`` are among ``votes``."""
+    return len(votes & members) >= majority(len(members))
+
+
+def agree(votes: Set[str], electorates: Iterable[Set[str]]) -> bool:
+    """Tell whether there is a majority in every one of the electorates."""
+    return all(is_majority(votes, members) for members in electorates)
+
+
+def readers_needed(count: int) -> int:
+    """Return how many other members a member with a lost disk must read before it votes.
+
+    Any majority that its lost disk was part of has another member among so many others, so
+    nothing that was chosen with the lost vote stays unknown; with three it is both others.
+    """
+    return count - majority(count) + 1
--- a/rooklug/core/records.py
+++ b/rooklug/core/records.py
@@ -1,6 +1,14 @@
 """Conversion between the protocol's values and thrift structs."""
 
-from rooklug.core.types import EpochRun, MemberDisk, Position, Promise, View, WitnessState
+from rooklug.core.types import (
+    CoreMember,
+    EpochRun,
+    MemberDisk,
+    Position,
+    Promise,
+    View,
+    WitnessState,
+)
 from rooklug.wire.generated.core import ttypes as wire
 
 
@@ -24,16 +32,33 @@
     return Position(position.epoch, position.sequence)
 
 
+def member_to_wire(member: CoreMember) -> wire.CoreMember:
+    """Encode a voting core."""
+    return wire.CoreMember(core_id=member.core_id, address=member.address)
+
+
+def member_from_wire(member: wire.CoreMember) -> CoreMember:
+    """Decode a voting core."""
+    return CoreMember(member.core_id, member.address)
+
+
 def view_to_wire(view: View) -> wire.View:
     """Encode a view."""
-    in_sync = [disk_to_wire(disk) for disk in view.in_sync]
-    return wire.View(epoch=view.epoch, primary_id=view.primary_id, in_sync=in_sync)
+    return wire.View(
+        epoch=view.epoch,
+        primary_id=view.primary_id,
+        in_sync=[disk_to_wire(disk) for disk in view.in_sync],
+        members=[member_to_wire(member) for member in view.members] or None,
+        previous=[member_to_wire(member) for member in view.previous] or None,
+    )
 
 
 def view_from_wire(view: wire.View) -> View:
     """Decode a view."""
     in_sync = tuple(disk_from_wire(disk) for disk in view.in_sync)
-    return View(view.epoch, view.primary_id, in_sync)
+    members = tuple(member_from_wire(member) for member in view.members or ())
+    previous = tuple(member_from_wire(member) for member in view.previous or ())
+    return View(view.epoch, view.primary_id, in_sync, members, previous)
 
 
 def runs_to_wire(runs: list[EpochRun]) -> list[wire.EpochRun]:
--- a/rooklug/core/recovery.py
+++ b/rooklug/core/recovery.py
@@ -11,9 +11,10 @@
 import attrs
 
 from rooklug.core import witness_rules
-from rooklug.core.constants import MAJORITY, MESSAGE_DEADLINE_S
+from rooklug.core.constants import MESSAGE_DEADLINE_S
 from rooklug.core.outbox import Outbox
 from rooklug.core.peers import Peers
+from rooklug.core.quorum import majority
 from rooklug.core.records import (
     disk_to_wire,
     position_from_wire,
@@ -126,7 +127,7 @@
         voters = [state for state in states if state.voting]
         view = self._newest_view(survey)
         in_sync = [state for state in voters if view is not None and view.has(state.own)]
-        return len(voters) >= MAJORITY and bool(in_sync)
+        return len(voters) >= majority(len(self._peers.members_of(view))) and bool(in_sync)
 
     def _newest_view(self, survey: Survey) -> View | None:
         states = [self._witness.state, *(s.state for s in survey.survivors.values())]
@@ -177,7 +178,9 @@
         states = [survivor.state for survivor in survey.survivors.values()]
         highest = max(state.promised_epoch for state in [self._witness.state, *states])
         epoch = witness_rules.next_epoch(highest, self._peers.index)
-        view = View(epoch, own.core_id, (own,))
+        newest = self._newest_view(survey)
+        members = newest.members if newest else ()
+        view = View(epoch, own.core_id, (own,), members)
         disks = tuple(sorted([own, *(state.own for state in states)]))
         adopted = witness_rules.adopt(self._witness.state, own, view, disks)
         if adopted is None:
--- a/rooklug/core/replication.py
+++ b/rooklug/core/replication.py
@@ -28,6 +28,8 @@
 from rooklug.core.types import MemberDisk, Position, View
 from rooklug.wire.generated.core import ttypes as wire
 
+NEVER = float("-inf")
+
 
 @attrs.define(eq=False)
 class SnapshotTransfer:
@@ -42,7 +44,8 @@
 class Member:
     """What the primary knows of another core.
 
-    It owes an answer since ``owing_since``, and may take ``allowed_s`` for it.
+    It owes an answer since ``owing_since``, and may take ``allowed_s`` for it. Its witness
+    supports the primary by the heartbeat that was sent at ``supported_at``.
     """
 
     core_id: str
@@ -54,6 +57,7 @@
     owing_since: float | None = None
     allowed_s: float = SYNC_DEADLINE_S
     heard_at: float = 0.0
+    supported_at: float = NEVER
     transfer: SnapshotTransfer | None = None
 
 
@@ -86,7 +90,8 @@
     def start(self, view: View, now: float) -> None:
         """Begin a view: every member has to be started anew."""
         in_sync = {disk.core_id for disk in view.in_sync}
-        reachable = {member.core_id for member in self.members.values() if member.reachable}
+        before = self.members
+        reachable = {member.core_id for member in before.values() if member.reachable}
         self.view = view
         self._writing = False
         self.members = {
@@ -95,6 +100,10 @@
             )
             for core_id in self._peers.others
         }
+        for core_id, member in self.members.items():
+            # A view change is no sign of life of those that didn't take part in it.
+            if core_id in before and core_id not in in_sync:
+                member.heard_at = before[core_id].heard_at
 
     def stop(self) -> None:
         """End the view on this side; late answers are ignored."""
@@ -106,9 +115,9 @@
         if self.view is None:
             return
         self._write_own(now)
-        for core_id in self._peers.others:
+        for member in list(self.members.values()):
             if self.view is not None:
-                self._feed(self.members[core_id], now)
+                self._feed(member, now)
 
     def acknowledged_by_all(self) -> int:
         """Return the last sequence synced on this disk and on all others in sync."""
--- a/rooklug/core/types.py
+++ b/rooklug/core/types.py
@@ -22,19 +22,48 @@
 START = Position(0, 0)
 
 
+@attrs.frozen(order=True, cache_hash=True)
+class CoreMember:
+    """A core that votes, and its internal address."""
+
+    core_id: str
+    address: str
+
+
 @attrs.frozen(cache_hash=True)
 class View:
-    """Who is the primary of ``epoch``, and whose disks hold every committed change."""
+    """Who is the primary of ``epoch``, and whose disks hold every committed change.
+
+    ``members`` (sorted) are the cores that vote; empty: the ones of the settings.
+    ``previous``: set while the members change; a majority of these is needed as well, until a
+    view without them is chosen.
+    """
 
     epoch: int
     primary_id: str
     in_sync: tuple[MemberDisk, ...]
+    members: tuple[CoreMember, ...] = ()
+    previous: tuple[CoreMember, ...] = ()
+
+    @property
+    def member_ids(self) -> frozenset[str]:
+        """The ids of the cores that vote; empty: the ones of the settings."""
+        return _ids(self.members)
+
+    @property
+    def previous_ids(self) -> frozenset[str]:
+        """The ids of the cores that must agree as well while the members change."""
+        return _ids(self.previous)
 
     def has(self, member: MemberDisk) -> bool:
         """Tell whether this very disk is in sync."""
         return member in self.in_sync
 
 
+def _ids(members: tuple[CoreMember, ...]) -> frozenset[str]:
+    return frozenset(member.core_id for member in members)
+
+
 @attrs.frozen(cache_hash=True)
 class WitnessState:
     """Everything a witness remembers durably. ``disks`` and ``retired`` are sorted."""
--- a/rooklug/core/views.py
+++ b/rooklug/core/views.py
@@ -6,17 +6,17 @@
 import attrs
 
 from rooklug.core.constants import (
-    MAJORITY,
     MESSAGE_DEADLINE_S,
     PROMISE_GRACE_S,
     ROUND_DEADLINE_S,
 )
 from rooklug.core.outbox import Outbox
 from rooklug.core.peers import Peers
+from rooklug.core.quorum import agree
 from rooklug.core.records import disk_to_wire, promise_from_wire, view_to_wire
 from rooklug.core.types import Position, Promise, View
 from rooklug.core.witness import Witness
-from rooklug.core.witness_rules import choose_view, next_epoch
+from rooklug.core.witness_rules import MemberChange, choose_view, newest_view, next_epoch
 from rooklug.wire.generated.core import ttypes as wire
 
 
@@ -31,18 +31,23 @@
 class Round:
     """One attempt. ``excluded`` cores are left out of the new view, and not waited for.
 
-    The others are waited for until ``grace_s`` after the first promise.
+    The others are waited for until ``grace_s`` after the first promise. ``change`` is a change
+    of the members that goes with it, ``settled`` the chosen view that it follows, if known.
     """
 
     epoch: int
     excluded: frozenset[str]
     grace_s: float
     started_at: float
+    change: MemberChange | None = None
+    settled: View | None = None
     phase: Phase = Phase.PREPARE
     own: Promise | None = None
     own_asked: bool = False
     promises: dict[str, Promise] = attrs.field(factory=dict)
+    asked: set[str] = attrs.field(factory=set)
     answered: set[str] = attrs.field(factory=set)
+    electorates: list[frozenset[str]] = attrs.field(factory=list)
     majority_at: float = 0.0
     view: View | None = None
     accept_sent_at: float = 0.0
@@ -78,18 +83,27 @@
         """Note an epoch that somebody has promised."""
         self.highest_seen = max(self.highest_seen, epoch)
 
-    def begin(self, excluded: frozenset[str], now: float, grace_s: float = PROMISE_GRACE_S) -> None:
+    def begin(
+        self,
+        excluded: frozenset[str],
+        now: float,
+        grace_s: float = PROMISE_GRACE_S,
+        change: MemberChange | None = None,
+        settled: View | None = None,
+    ) -> None:
         """Ask the other witnesses for promises; its own follows the first of theirs."""
         after = max(self.highest_seen, self._witness.state.promised_epoch)
         epoch = next_epoch(after, self._peers.index)
         self.saw_epoch(epoch)
-        current = Round(epoch, excluded, grace_s, now)
+        current = Round(epoch, excluded, grace_s, now, change, settled)
         self.round = current
-        request = wire.PrepareRequest(
-            proposer=disk_to_wire(self._witness.state.own), epoch=current.epoch
-        )
         for core_id in self._peers.others:
-            self._prepare(current, core_id, request)
+            self._prepare(current, core_id)
+        if change is not None and change.joiner is not None:
+            self._peers.learn((change.joiner,))
+            self._prepare(current, change.joiner.core_id, joining=True)
+        if not current.asked:
+            self._ask_own(current, now)
 
     def abandon(self) -> None:
         """Forget the round; late answers to it are ignored."""
@@ -105,7 +119,13 @@
         else:
             self._propose_if_ready(current, now)
 
-    def _prepare(self, current: Round, core_id: str, request: wire.PrepareRequest) -> None:
+    def _prepare(self, current: Round, core_id: str, joining: bool = False) -> None:
+        current.asked.add(core_id)
+        request = wire.PrepareRequest(
+            proposer=disk_to_wire(self._witness.state.own),
+            epoch=current.epoch,
+            joining=joining or None,
+        )
         self._outbox.call(
             self._peers.address(core_id),
             request,
@@ -126,10 +146,22 @@
             return
         current.answered.add(core_id)
         if answer.granted:
-            current.promises[core_id] = promise_from_wire(answer)
+            promise = promise_from_wire(answer)
+            current.promises[core_id] = promise
+            self._ask_newer_members(current, promise.view)
             self._ask_own(current, now)
         self._continue(current, now)
 
+    def _ask_newer_members(self, current: Round, view: View | None) -> None:
+        """A promise may tell of a view with members that weren't known here."""
+        if view is None:
+            return
+        self._peers.learn(view.members)
+        self._peers.learn(view.previous)
+        for electorate in self._peers.electorates(view):
+            for core_id in sorted(electorate - current.asked - {self._peers.own_id}):
+                self._prepare(current, core_id)
+
     def _on_silence(self, current: Round, core_id: str, now: float) -> None:
         if self.round is current:
             current.answered.add(core_id)
@@ -154,8 +186,8 @@
         self._continue(current, now)
 
     def _continue(self, current: Round, now: float) -> None:
-        everybody = len(current.answered) == len(self._peers.others)
-        if everybody and not current.promises:
+        everybody = current.answered >= current.asked
+        if everybody and current.asked and not current.promises:
             self._fail(current, "no other witness promised", now)
         else:
             self._propose_if_ready(current, now)
@@ -163,18 +195,24 @@
     def _propose_if_ready(self, current: Round, now: float) -> None:
         if current.phase is not Phase.PREPARE or current.own is None:
             return
-        if len(current.promises) + 1 < MAJORITY:
+        latest = newest_view(current.own, current.promises.values())
+        votes = {self._peers.own_id, *current.promises}
+        if not agree(votes, self._peers.electorates(latest)):
             return
-        everybody = current.answered | current.excluded >= set(self._peers.others)
+        everybody = current.answered | current.excluded >= current.asked
         if everybody or now >= current.majority_at + current.grace_s:
             self._propose(current, now)
 
     def _propose(self, current: Round, now: float) -> None:
         others = [current.promises[core_id] for core_id in sorted(current.promises)]
-        view = choose_view(current.epoch, current.own, others, current.excluded)
+        view = choose_view(
+            current.epoch, current.own, others, current.excluded, current.change, current.settled
+        )
         if view is None:
             self._fail(current, "this disk isn't in sync in the newest view", now)
             return
+        latest = newest_view(current.own, others)
+        current.electorates = [*self._peers.electorates(latest), *self._peers.electorates(view)]
         current.phase = Phase.ACCEPT
         current.view = view
         current.accept_sent_at = now
@@ -202,7 +240,8 @@
         if self.round is not current:
             return
         current.accepted.add(core_id)
-        if len(current.accepted) >= MAJORITY and self._peers.own_id in current.accepted:
+        own = self._peers.own_id in current.accepted
+        if own and agree(current.accepted, current.electorates):
             self.round = None
             self._on_chosen(current.view, current.accept_sent_at, now)
 
--- a/rooklug/core/witness.py
+++ b/rooklug/core/witness.py
@@ -8,6 +8,7 @@
 from rooklug.core.constants import QUIET_S, WITNESS_FILE, WITNESS_REWRITE_RECORDS
 from rooklug.core.disk import Continuation, Disk
 from rooklug.core.outbox import Outbox
+from rooklug.core.peers import Peers
 from rooklug.core.records import (
     disk_from_wire,
     disk_to_wire,
@@ -30,10 +31,13 @@
     ``QUIET_S`` from then it promises nothing to anybody else.
     """
 
-    def __init__(self, outbox: Outbox, disk: Disk, last: Callable[[], Position]) -> None:
+    def __init__(
+        self, outbox: Outbox, disk: Disk, last: Callable[[], Position], peers: Peers
+    ) -> None:
         self._outbox = outbox
         self._disk = disk
         self._last = last
+        self._peers = peers
         self._file_records = 0
         self.state = WitnessState(MemberDisk("", ""))
         self.leader: MemberDisk | None = None
@@ -43,6 +47,7 @@
     def load(self, state: WitnessState, now: float) -> None:
         """Start from a state that is on disk: an earlier life may have granted quiet time."""
         self.state = state
+        self._peers.take(state.view)
         self.leader = _primary_disk(state.view)
         self.leader_epoch = state.accepted_epoch
         self.heard_at = now
@@ -57,6 +62,7 @@
         """Take a new state; go on once it, and all writes before it, are synced."""
         if state != self.state:
             self.state = state
+            self._peers.take(state.view)
             self._write(encode(witness_to_wire(state)), now)
         self._disk.after_sync(now, then)
 
@@ -90,7 +96,8 @@
     def on_prepare(self, call_id: int, request: wire.PrepareRequest, now: float) -> None:
         """Answer a proposer's request for a promise."""
         proposer = disk_from_wire(request.proposer)
-        state = witness_rules.promise(self.state, request.epoch, proposer)
+        rule = witness_rules.promise_to_join if request.joining else witness_rules.promise
+        state = rule(self.state, request.epoch, proposer)
         if state is None or self.is_quiet_for(proposer, now):
             self._outbox.answer(call_id, self._prepare_answer(False))
             return
--- a/rooklug/core/witness_rules.py
+++ b/rooklug/core/witness_rules.py
@@ -7,14 +7,19 @@
 
 import attrs
 
-from rooklug.core.constants import CORE_COUNT, FIRST_EPOCH
-from rooklug.core.types import MemberDisk, Promise, View, WitnessState
+from rooklug.core.constants import EPOCH_SLOTS, FIRST_EPOCH
+from rooklug.core.quorum import readers_needed
+from rooklug.core.types import CoreMember, MemberDisk, Promise, View, WitnessState
 
 
 def next_epoch(after: int, core_index: int) -> int:
-    """Return the smallest epoch above ``after`` that only core ``core_index`` proposes."""
-    epoch = after - after % CORE_COUNT + core_index
-    return epoch if epoch > after else epoch + CORE_COUNT
+    """Return the smallest epoch above ``after`` that is core ``core_index``'s to propose.
+
+    With more cores than slots two may propose the same epoch. A witness promises it to one of
+    them only, so at most one gets a majority.
+    """
+    epoch = after - after % EPOCH_SLOTS + core_index % EPOCH_SLOTS
+    return epoch if epoch > after else epoch + EPOCH_SLOTS
 
 
 def promise(state: WitnessState, epoch: int, proposer: MemberDisk) -> WitnessState | None:
@@ -27,6 +32,19 @@
     return state if repeated and state.accepted_epoch < epoch else None
 
 
+def promise_to_join(state: WitnessState, epoch: int, proposer: MemberDisk) -> WitnessState | None:
+    """Promise as a core that the proposed view makes a member; None when refused.
+
+    A blank witness has no vote to forget: it was in no view before. The primary proposes no
+    core that is a member already (one with a lost disk recovers instead).
+    """
+    if state.voting:
+        return promise(state, epoch, proposer)
+    if epoch <= state.promised_epoch or state.view is not None:
+        return None
+    return attrs.evolve(state, voting=True, promised_epoch=epoch, promised_to=proposer)
+
+
 def accept(
     state: WitnessState, proposer: MemberDisk, view: View, promises: Iterable[MemberDisk]
 ) -> WitnessState | None:
@@ -81,13 +99,16 @@
     )
 
 
-def recover(state: WitnessState, others: Iterable[WitnessState]) -> WitnessState | None:
-    """Become a voter again after a lost disk, from the states of BOTH other witnesses.
+def recover(
+    state: WitnessState, others: Iterable[WitnessState], member_count: int = 3
+) -> WitnessState | None:
+    """Become a voter again after a lost disk, from the states of other members' witnesses.
 
-    Both must be voters and must have registered this disk before they answered.
+    They must have registered this disk before they answered. With three members it takes
+    BOTH others, see ``quorum.readers_needed``.
     """
-    others = list(others)
-    if len(others) != CORE_COUNT - 1 or not all(other.voting for other in others):
+    others = [other for other in others if other.voting]
+    if len(others) < readers_needed(member_count):
         return None
     retired = {disk_id for other in others for disk_id in other.retired}
     if state.own.disk_id in retired:
@@ -129,24 +150,68 @@
     )
 
 
+@attrs.frozen
+class MemberChange:
+    """A change of who votes: at most one core comes, and at most one goes."""
+
+    joiner: CoreMember | None = None
+    leaver: str = ""
+
+
+def newest_view(own: Promise, others: Iterable[Promise]) -> View | None:
+    """Return the newest view that any of the promises knows of."""
+    known = [promise.view for promise in (own, *others) if promise.view is not None]
+    return max(known, key=lambda view: view.epoch, default=None)
+
+
 def choose_view(
-    epoch: int, own: Promise, others: Iterable[Promise], excluded: frozenset[str] = frozenset()
+    epoch: int,
+    own: Promise,
+    others: Iterable[Promise],
+    excluded: frozenset[str] = frozenset(),
+    change: MemberChange | None = None,
+    settled: View | None = None,
 ) -> View | None:
     """Return the view to propose, or None when this core may not become the primary.
 
     Only a disk in sync in the newest accepted view may lead. Other disks stay in sync if
     they were, or come in if their log is equal to the proposer's; all have promised
     ``epoch``, so that no earlier primary changes their logs any more.
+
+    Members change in two views: one that both the old and the new members choose, and,
+    once it is ``settled`` (chosen, and nothing newer is known), one without the old ones.
     """
     others = list(others)
-    known = [promise.view for promise in (own, *others) if promise.view is not None]
-    latest = max(known, key=lambda view: view.epoch, default=None)
+    latest = newest_view(own, others)
     if latest is None or not latest.has(own.voter):
         return None
+    members, previous = latest.members, latest.previous
+    if previous and latest == settled:
+        previous = ()
+    elif change is not None and not previous:
+        voters = {promise.voter.core_id for promise in others}
+        members, previous = _changed(latest, change, voters)
+    voting = {member.core_id for member in (*members, *previous)}
     joined = [
         other.voter
         for other in others
         if other.voter.core_id not in excluded
+        and (not voting or other.voter.core_id in voting)
         and (latest.has(other.voter) or other.last == own.last)
     ]
-    return View(epoch, own.voter.core_id, tuple(sorted([own.voter, *joined])))
+    in_sync = tuple(sorted([own.voter, *joined]))
+    return View(epoch, own.voter.core_id, in_sync, members, previous)
+
+
+def _changed(
+    latest: View, change: MemberChange, voters: set[str]
+) -> tuple[tuple[CoreMember, ...], tuple[CoreMember, ...]]:
+    """Return the members after a change, and those before it; a joiner must have promised."""
+    before = latest.members
+    after = [member for member in before if member.core_id != change.leaver]
+    if change.joiner is not None:
+        if change.joiner.core_id not in voters:
+            return before, ()
+        after.append(change.joiner)
+    members = tuple(sorted(after))
+    return (members, before) if members != before else (before, ())
--- a/rooklug/distribution/core_finder.py
+++ b/rooklug/distribution/core_finder.py
@@ -24,6 +24,11 @@
     def __attrs_post_init__(self) -> None:
         self.address = self.seeds[self.random.randrange(len(self.seeds))]
 
+    def learn(self, addresses: tuple[str, ...]) -> None:
+        """Go by the cores that there are now, in place of the seeds of the settings."""
+        if addresses:
+            self.seeds = addresses
+
     def answered_as_primary(self, address: str) -> None:
         """Note that the core at ``address`` acts as the primary."""
         if address != self.address:
--- a/rooklug/distribution/members_delta.py
+++ b/rooklug/distribution/members_delta.py
@@ -44,6 +44,7 @@
             if old_owners.get(owner.role_key) != owner_facts(owner)
         ],
         gone_roles=sorted(old_owners.keys() - new_keys),
+        core_addresses=None if old.core_addresses == new.core_addresses else new.core_addresses,
     )
 
 
@@ -60,4 +61,5 @@
     return MembersBody(
         nodes=[nodes[node_id] for node_id in sorted(nodes)],
         role_owners=[owners[key] for key in sorted(owners)],
+        core_addresses=delta.core_addresses or body.core_addresses,
     )
--- a/rooklug/distribution/polling.py
+++ b/rooklug/distribution/polling.py
@@ -12,6 +12,7 @@
 from rooklug.engine.composite import Notify
 from rooklug.model.constants import POLL_ANSWER_DEADLINE_S, POLL_WAIT_S
 from rooklug.model.notices import TopicChanged
+from rooklug.model.topics import MEMBERS
 from rooklug.wire.generated.control.ttypes import PollAnswer, PollRequest, TopicMark
 
 _POLL_WAIT_MS = int(POLL_WAIT_S * 1000)
@@ -91,6 +92,8 @@
 
     def _effects_of(self, taken: TakenUpdate) -> list[fx.Effect]:
         if isinstance(taken, TopicChanged):
+            if taken.topic == MEMBERS:
+                self.state.finder.learn(tuple(taken.body.core_addresses or ()))
             return [Notify(taken)]
         if isinstance(taken, PendingDelta):
             ticket = self.state.context.identifiers.next()
--- a/rooklug/membership/members_topic.py
+++ b/rooklug/membership/members_topic.py
@@ -27,8 +27,10 @@
 """Nodes that hold one of so many previous publications get a delta."""
 
 
-def members_body(leases: LeaseTable, roles: RoleTable) -> MembersBody:
-    """Return the live nodes, and the roles that are granted to them."""
+def members_body(
+    leases: LeaseTable, roles: RoleTable, core_addresses: tuple[str, ...] = ()
+) -> MembersBody:
+    """Return the live nodes, the roles that are granted to them, and where the cores are."""
     nodes = leases.live()
     addresses = {node.node_id: node.internal_address for node in nodes}
     owners = [
@@ -41,7 +43,8 @@
         for state in roles.states()
         if state.holder is not None and state.holder.node_id in addresses
     ]
-    return MembersBody(nodes=nodes, role_owners=owners)
+    addresses = list(core_addresses) or None
+    return MembersBody(nodes=nodes, role_owners=owners, core_addresses=addresses)
 
 
 @attrs.frozen
@@ -53,7 +56,8 @@
 
 def _facts(body: MembersBody) -> tuple:
     nodes = tuple(visible_facts(node) for node in body.nodes)
-    return (nodes, tuple(owner_facts(owner) for owner in body.role_owners))
+    owners = tuple(owner_facts(owner) for owner in body.role_owners)
+    return (nodes, owners, tuple(body.core_addresses or ()))
 
 
 @attrs.define
@@ -64,6 +68,7 @@
     """
 
     dirty: bool = False
+    core_addresses: tuple[str, ...] = ()
     _counter: int = 0
     _next_at: float = 0.0
     _published: deque[_Publication] = attrs.field(factory=lambda: deque(maxlen=DELTA_BASES))
@@ -73,6 +78,11 @@
         self._published.clear()
         self.dirty = True
 
+    @property
+    def published(self) -> bool:
+        """Whether anything has been published in this term."""
+        return bool(self._published)
+
     def delay(self, now: float) -> float:
         """Return how long a change waits for others to go out with it, in seconds."""
         return max(MEMBERS_BATCH_S, self._next_at - now)
@@ -82,7 +92,7 @@
     ) -> bool:
         """Put the members into the store if anything that matters has changed."""
         self.dirty = False
-        body = members_body(leases, roles)
+        body = members_body(leases, roles, self.core_addresses)
         facts = _facts(body)
         if self._published and self._published[-1].facts == facts:
             return False
--- a/rooklug/membership/membership_part.py
+++ b/rooklug/membership/membership_part.py
@@ -45,6 +45,7 @@
         notices.ZonesCommitted,
         notices.CoreStatusChanged,
         notices.TopicOffered,
+        notices.CoresChanged,
     )
 
     def __init__(self, settings: CoreSettings, context: ProcessContext) -> None:
@@ -67,6 +68,7 @@
             notices.ZonesCommitted: self._take_zones,
             notices.CoreStatusChanged: self._take_status,
             notices.TopicOffered: self._take_offer,
+            notices.CoresChanged: self._take_cores,
             ev.Computed: self._computed,
         }
         self._timers = {
@@ -220,6 +222,14 @@
         answer = ttypes.ReadStatusAnswer(self._status, body.nodes, body.role_owners, zones)
         return [fx.Answer(event.call_id, answer)]
 
+    def _take_cores(self, notice: notices.CoresChanged, now: float) -> list[fx.Effect]:
+        view = self.view
+        view.members.core_addresses = notice.addresses
+        if not view.acts(now) or not view.members.published:
+            return []
+        view.members.dirty = True
+        return [fx.StartTimer(PUBLISH_MEMBERS, view.members.delay(now))]
+
     def _take_status(self, notice: notices.CoreStatusChanged, _now: float) -> list[fx.Effect]:
         self._status = notice.status
         return []
--- a/rooklug/model/notices.py
+++ b/rooklug/model/notices.py
@@ -74,6 +74,13 @@
     body: Any
 
 
+@attrs.frozen
+class CoresChanged(Notice):
+    """The cores that vote are at these internal addresses now."""
+
+    addresses: tuple[str, ...]
+
+
 @attrs.frozen
 class CoreStatusChanged(Notice):
     """This core's replication status, for ``ctl status``."""
--- a/rooklug/model/settings.py
+++ b/rooklug/model/settings.py
@@ -29,7 +29,14 @@
 
 @attrs.frozen
 class CoreSettings:
-    """A core's own settings: the fixed three members, by id and internal address."""
+    """A core's own settings.
+
+    ``members``: the cores that form the first view, by id and internal address (a later core
+    finds the others through them). ``first_start``: whether a first view may be formed at all.
+    ``minimum_copies``: so many disks must hold a change before it is acknowledged.
+    """
 
     node: NodeSettings
     members: dict[str, str]
+    first_start: bool = True
+    minimum_copies: int = 2
--- a/tests/core_cluster.py
+++ b/tests/core_cluster.py
@@ -1,4 +1,4 @@
-"""Three cores in virtual time: seeded network, disks that lose unsynced data, clients."""
+"""Cores in virtual time: seeded network, disks that lose unsynced data, clients."""
 
 import heapq
 import itertools
@@ -20,7 +20,8 @@
 from rooklug.model.settings import CoreSettings, NodeSettings
 
 CORE_IDS = ("core-a", "core-b", "core-c")
-ADDRESSES = {core_id: f"127.0.0.{i + 1}:7000" for i, core_id in enumerate(CORE_IDS)}
+LATER_IDS = tuple(f"core-{letter}" for letter in "defghijklmnopqrstuvwxyz")
+ADDRESSES = {core_id: f"127.0.0.{i + 1}:7000" for i, core_id in enumerate((*CORE_IDS, *LATER_IDS))}
 BY_ADDRESS = {address: core_id for core_id, address in ADDRESSES.items()}
 CLIENT = "client"
 INVALID = b"invalid"
@@ -118,7 +119,13 @@
         seed: int,
         delay: tuple[float, float] = (0.0005, 0.003),
         sync: tuple[float, float] = (0.001, 0.004),
+        core_ids: tuple[str, ...] = CORE_IDS,
+        minimum_copies: int = 2,
     ) -> None:
+        self.minimum_copies = minimum_copies
+        self.size = len(core_ids)
+        self.first_start = True
+        self.seeds = CORE_IDS  # what new settings name
         self.random = Random(seed)
         self.now = 0.0
         self.delay = delay
@@ -132,7 +139,7 @@
         self._open: dict[int, OpenCall] = {}
         self.messages = 0
         self.cores = {
-            core_id: Core(core_id, SimulatedDisk(f"disk-{core_id}")) for core_id in CORE_IDS
+            core_id: Core(core_id, SimulatedDisk(f"disk-{core_id}")) for core_id in core_ids
         }
 
     # time -----------------------------------------------------------------
@@ -167,7 +174,7 @@
             listen_http="",
             internal_address=ADDRESSES[core_id],
             http_address="",
-            seeds=tuple(ADDRESSES.values()),
+            seeds=tuple(ADDRESSES[seed] for seed in self.seeds),
         )
         context = ProcessContext(
             core_id,
@@ -176,15 +183,35 @@
             Identifiers(itertools.count(1)),
         )
         core.recorder = Recorder()
-        parts = build_core_parts(CoreSettings(node, ADDRESSES), context, STAND_IN_CHECKER)
+        founders = {seed: ADDRESSES[seed] for seed in self.seeds}
+        settings = CoreSettings(node, founders, self.first_start, self.minimum_copies)
+        parts = build_core_parts(settings, context, STAND_IN_CHECKER)
         core.reducer = CompositeReducer([*parts, core.recorder])
         files = {file: tuple(records) for file, records in core.disk.files.items()}
         self.deliver(core_id, ev.Started(files, core.disk.identity, core.disk.problem))
 
     def start_all(self) -> None:
-        for core_id in CORE_IDS:
+        for core_id in self.cores:
             self.start(core_id)
 
+    def replace(self, gone_id: str, new_id: str) -> None:
+        """A machine is gone for good; another one with an empty disk comes elsewhere."""
+        if self.cores[gone_id].alive:
+            self.crash(gone_id)
+        self.remove(gone_id)
+        self.add(new_id)
+
+    def remove(self, gone_id: str) -> None:
+        """Settings that are written from now on name others."""
+        del self.cores[gone_id]
+        self.seeds = tuple(self.cores)[:3]
+
+    def add(self, new_id: str) -> None:
+        """A machine with an empty disk comes."""
+        self.first_start = False
+        self.cores[new_id] = Core(new_id, SimulatedDisk(f"disk-{new_id}"))
+        self.start(new_id)
+
     def crash(self, core_id: str) -> None:
         """Kill the process: what isn't synced is lost, but for a prefix that happened to be."""
         core = self.cores[core_id]
@@ -219,7 +246,7 @@
         self.cuts.add((source, target))
 
     def isolate(self, core_id: str) -> None:
-        for other in (*CORE_IDS, CLIENT):
+        for other in (*self.cores, CLIENT):
             self.cuts |= {(core_id, other), (other, core_id)}
 
     def heal(self) -> None:
@@ -234,8 +261,8 @@
     # events -------------------------------------------------------------------
 
     def deliver(self, core_id: str, event: ev.Event) -> None:
-        core = self.cores[core_id]
-        if not core.alive:
+        core = self.cores.get(core_id)
+        if core is None or not core.alive:
             return
         if core.frozen:
             core.held.append(event)
@@ -303,8 +330,8 @@
         )
 
     def _arrive(self, core_id: str, open_id: int, request: Any) -> None:
-        core = self.cores[core_id]
-        if not core.alive:
+        core = self.cores.get(core_id)
+        if core is None or not core.alive:
             failed = ev.CallFailed(0, "refused", True)
             self.at(0.0005, lambda: self._end_call(open_id, failed))
             return
@@ -327,7 +354,9 @@
             if isinstance(event, ev.CallAnswered):
                 open_call.on_answer(event.answer)
             return
-        caller = self.cores[open_call.caller]
+        caller = self.cores.get(open_call.caller)
+        if caller is None:
+            return
         self._deliver_to_life(
             caller, open_call.life, attrs.evolve(event, call_id=open_call.call_id)
         )
--- a/tests/core_oracle.py
+++ b/tests/core_oracle.py
@@ -6,10 +6,11 @@
 
 import attrs
 
+from rooklug.engine import events as ev
 from rooklug.model import notices
 from rooklug.wire.codec import encode
 from rooklug.wire.generated.control import ttypes as control
-from tests.core_cluster import CORE_IDS, INVALID, Cluster, Core
+from tests.core_cluster import CORE_IDS, INVALID, LATER_IDS, Cluster, Core
 
 FINAL = {"accepted", "conflict", "invalid", "unavailable", "not_primary"}
 
@@ -154,7 +155,12 @@
 
         def whole() -> bool:
             primary = cluster.primary()
-            return primary is not None and len(primary.part.leader.view.in_sync) == len(CORE_IDS)
+            if primary is None:
+                return False
+            view = primary.part.leader.view
+            in_sync = {disk.core_id for disk in view.in_sync}
+            everybody = in_sync == view.member_ids <= set(cluster.cores)
+            return everybody and len(in_sync) == cluster.size and not view.previous
 
         self.check(cluster.run(cluster.now + 120.0, whole), "no whole view after healing")
         self._check_table(cluster.primary())
@@ -238,7 +244,7 @@
         primary = self.oracle.cluster.primary()
         if primary is not None and self.random.random() < 0.85:
             return primary.core_id
-        return self.random.choice(CORE_IDS)
+        return self.random.choice(list(self.oracle.cluster.cores))
 
 
 class Faults:
@@ -270,13 +276,13 @@
             self._power_cut,
             self._lose_disk,
         )
-        self.random.choice(kinds)(self.random.choice(CORE_IDS))
+        self.random.choice(kinds)(self.random.choice(list(self.cluster.cores)))
 
     def _count(self, kind: str) -> None:
         self.counts[kind] = self.counts.get(kind, 0) + 1
 
     def _crash(self, core_id: str) -> None:
-        if self.cluster.cores[core_id].alive:
+        if self._is_alive(core_id):
             self._count("crash")
             self.cluster.crash(core_id)
             self.cluster.at(self.random.uniform(0.01, 4.0), lambda: self._restart(core_id))
@@ -284,7 +290,7 @@
     def _power_cut(self, core_id: str) -> None:
         """Two cores stop at once, while one or both were still writing."""
         self._count("power cut")
-        other = self.random.choice([other for other in CORE_IDS if other != core_id])
+        other = self.random.choice([other for other in self.cluster.cores if other != core_id])
         delay = self.random.uniform(0.05, 0.9)
         for stopped in (core_id, other):
             disk = self.cluster.cores[stopped].disk
@@ -293,9 +299,13 @@
             self.cluster.at(delay, lambda stopped=stopped: self._crash(stopped))
 
     def _restart(self, core_id: str) -> None:
-        if not self.cluster.cores[core_id].alive:
+        if core_id in self.cluster.cores and not self._is_alive(core_id):
             self.cluster.start(core_id)
 
+    def _is_alive(self, core_id: str) -> bool:
+        core = self.cluster.cores.get(core_id)
+        return core is not None and core.alive
+
     def _freeze(self, core_id: str) -> None:
         core = self.cluster.cores[core_id]
         if core.alive and not core.frozen:
@@ -305,7 +315,8 @@
             self.cluster.at(self.random.uniform(0.5, 20.0), lambda: self._thaw(core_id, life))
 
     def _thaw(self, core_id: str, life: int) -> None:
-        if self.cluster.cores[core_id].life == life:
+        core = self.cluster.cores.get(core_id)
+        if core is not None and core.life == life:
             self.cluster.thaw(core_id)
 
     def _stall(self, core_id: str) -> None:
@@ -320,7 +331,7 @@
 
     def _one_way(self, core_id: str) -> None:
         self._count("one way")
-        others = [other for other in CORE_IDS if other != core_id]
+        others = [other for other in self.cluster.cores if other != core_id]
         self.cluster.cut(core_id, self.random.choice(others))
         self.cluster.at(self.random.uniform(0.5, 8.0), self.cluster.cuts.clear)
 
@@ -342,23 +353,79 @@
 
     def _all_in_sync(self) -> bool:
         primary = self.cluster.primary()
-        cores = self.cluster.cores.values()
+        cores = [
+            core
+            for core in self.cluster.cores.values()
+            if primary is not None and core.core_id in primary.part.peers.members
+        ]
         if primary is None or not all(core.alive for core in cores):
             return False
         view = primary.part.leader.view
         current = {core.part.witness.state.own for core in cores}
         voting = all(core.part.witness.state.voting for core in cores)
-        return voting and set(view.in_sync) == current
+        everybody = len(view.in_sync) == len(view.member_ids) == self.cluster.size
+        return voting and set(view.in_sync) <= current and everybody and not view.previous
+
+
+class Replacements(Faults):
+    """Also machines that are gone for good, and new ones at other addresses.
+
+    At most one machine is away for good at a time, and only while all others hold everything:
+    that is what the system is asked to bear.
+    """
+
+    def __init__(self, cluster: Cluster, random: Random, mean_s: float = 2.0) -> None:
+        super().__init__(cluster, random, mean_s)
+        self._names = iter(LATER_IDS)
+
+    def _power_cut(self, core_id: str) -> None:
+        """In the place of a cut of two machines: one is replaced."""
+        if not self._all_in_sync() or core_id not in self.cluster.primary().part.peers.members:
+            return
+        new_id = next(self._names, "")
+        if not new_id:
+            return
+        if self.random.random() < 0.5:
+            self._count("replaced")
+            self.cluster.replace(core_id, new_id)
+        else:
+            self._count("replaced as planned")
+            self.cluster.add(new_id)
+            self.cluster.at(self.random.uniform(0.5, 3.0), lambda: self._leave(core_id))
+
+    def _leave(self, core_id: str) -> None:
+        """The old machine gets SIGTERM, and is gone a moment later; after other losses."""
+        if core_id not in self.cluster.cores:
+            return
+        if not self._all_in_sync():
+            self.cluster.at(0.5, lambda: self._leave(core_id))
+            return
+        self.cluster.deliver(core_id, ev.StopRequested())
+        self.cluster.at(0.6, lambda: self._remove(core_id))
+
+    def _remove(self, core_id: str) -> None:
+        if core_id not in self.cluster.cores:
+            return
+        if self._is_alive(core_id):
+            self.cluster.crash(core_id)
+        self.cluster.remove(core_id)
 
 
-def run_seed(seed: int, seconds: float = 40.0, mean_s: float = 2.0) -> tuple[Oracle, Faults]:
+def run_seed(
+    seed: int,
+    seconds: float = 40.0,
+    mean_s: float = 2.0,
+    kind: type[Faults] = Faults,
+    core_ids: tuple[str, ...] = CORE_IDS,
+    minimum_copies: int = 2,
+) -> tuple[Oracle, Faults]:
     """Run one seeded history and judge it; the oracle raises on a broken promise."""
-    cluster = Cluster(seed)
+    cluster = Cluster(seed, core_ids=core_ids, minimum_copies=minimum_copies)
     cluster.late = 0.01
     oracle = Oracle(cluster)
     random = Random(seed)
     operators = [Operators(oracle, random, name) for name in ("amal", "berit")]
-    faults = Faults(cluster, random, mean_s)
+    faults = kind(cluster, random, mean_s)
     cluster.start_all()
     for source in (*operators, faults):
         source.begin()
--- /dev/null
+++ b/tests/test_core_members.py
@@ -0,0 +1,171 @@
+"""Who votes: cores that join, are replaced, or come back to members that have changed."""
+
+import unittest
+
+from rooklug.core.quorum import agree, majority, readers_needed
+from rooklug.engine import events as ev
+from tests.core_cluster import CORE_IDS, LATER_IDS, Cluster
+from tests.core_oracle import Oracle, Order, Replacements, run_seed
+
+SIX = (*CORE_IDS, *LATER_IDS[:3])
+SEEDS = 12
+
+
+class MemberCase(unittest.TestCase):
+    def begin(self, core_ids=CORE_IDS, copies=2, seed=1) -> None:
+        self.cluster = Cluster(seed, core_ids=core_ids, minimum_copies=copies)
+        self.oracle = Oracle(self.cluster)
+        self.cluster.start_all()
+
+    def members(self) -> set[str]:
+        primary = self.cluster.primary()
+        if primary is None or primary.part.leader.view.previous:
+            return set()
+        return set(primary.part.leader.view.member_ids)
+
+    def is_whole(self) -> bool:
+        primary = self.cluster.primary()
+        if primary is None:
+            return False
+        in_sync = {disk.core_id for disk in primary.part.leader.view.in_sync}
+        return in_sync == self.members() == set(self.cluster.cores)
+
+    def wait_whole(self, seconds: float) -> None:
+        whole = self.cluster.run(self.cluster.now + seconds, self.is_whole)
+        self.assertTrue(whole, f"members {self.members()} of {set(self.cluster.cores)}")
+
+    def change(self, version: int, seconds: float = 5.0) -> None:
+        order = Order(version, b"{%d}" % version, None)
+
+        def send() -> None:
+            if not order.accepted and self.cluster.primary() is not None:
+                self.oracle.send(order, self.cluster.primary().core_id)
+            if not order.accepted:
+                self.cluster.at(0.2, send)
+
+        send()
+        taken = self.cluster.run(self.cluster.now + seconds, lambda: order.accepted)
+        self.assertTrue(taken, f"change {version} was not taken")
+
+
+class Joining(MemberCase):
+    def test_six_cores_that_know_three_seeds_become_members(self):
+        self.begin(SIX, copies=3)
+        self.wait_whole(6.0)
+        self.change(1)
+
+    def test_six_cores_bear_the_loss_of_two(self):
+        self.begin(SIX, copies=3)
+        self.wait_whole(6.0)
+        self.change(1)
+        primary = self.cluster.primary().core_id
+        other = next(core_id for core_id in SIX if core_id != primary)
+        self.cluster.crash(primary)
+        self.cluster.crash(other)
+        self.change(2)
+        self.assertGreaterEqual(len(self.cluster.primary().part.leader.view.in_sync), 3)
+
+    def test_a_core_that_is_gone_for_good_is_replaced(self):
+        self.begin()
+        self.wait_whole(3.0)
+        self.change(1)
+        self.cluster.replace(self.cluster.primary().core_id, "core-d")
+        self.wait_whole(8.0)
+        self.change(2)
+        victim = next(iter(self.members() - {self.cluster.primary().core_id, "core-d"}))
+        self.cluster.crash(victim)
+        self.change(3)
+        self.assertIn(
+            "core-d", {d.core_id for d in self.cluster.primary().part.leader.view.in_sync}
+        )
+
+    def test_all_founders_can_be_replaced_in_turn(self):
+        self.begin()
+        self.wait_whole(3.0)
+        for number, (old, new) in enumerate(zip(CORE_IDS, LATER_IDS, strict=False)):
+            self.change(number + 1)
+            self.cluster.replace(old, new)
+            self.wait_whole(8.0)
+        self.change(9)
+        self.assertEqual(self.members(), set(LATER_IDS[:3]))
+
+    def test_a_planned_replacement_comes_first_and_then_the_old_one_goes(self):
+        for old in CORE_IDS:
+            with self.subTest(old=old):
+                self.begin()
+                self.wait_whole(3.0)
+                self.cluster.add("core-d")
+                self.cluster.run(self.cluster.now + 2.0)
+                self.assertEqual(self.members(), set(CORE_IDS))
+                self.cluster.deliver(old, ev.StopRequested())
+                self.cluster.run(self.cluster.now + 0.8)
+                self.cluster.remove(old)
+                self.wait_whole(1.5)
+                other = next(i for i in CORE_IDS if i != old)
+                self.cluster.crash(other)
+                self.change(1)
+
+    def test_a_member_that_was_put_out_while_it_was_away_comes_back(self):
+        self.begin()
+        self.wait_whole(3.0)
+        self.cluster.crash("core-c")
+        self.cluster.run(self.cluster.now + 2.0)
+        self.cluster.add("core-d")
+        self.cluster.run(self.cluster.now + 4.0)
+        self.assertEqual(self.members(), {"core-a", "core-b", "core-d"})
+        self.cluster.start("core-c")
+        self.cluster.run(self.cluster.now + 2.0)
+        self.assertEqual(self.members(), {"core-a", "core-b", "core-d"})
+        self.cluster.crash("core-d")
+        self.cluster.remove("core-d")
+        self.wait_whole(5.0)
+        self.change(1)
+
+
+class FirstStart(MemberCase):
+    def test_blank_cores_never_form_a_second_system(self):
+        self.begin()
+        self.cluster.run(0.0)
+        for core_id in CORE_IDS:
+            self.cluster.crash(core_id)
+            self.cluster.lose_disk(core_id)
+        self.cluster.first_start = False
+        self.cluster.start_all()
+        self.assertFalse(self.cluster.run(30.0, lambda: self.cluster.primary() is not None))
+
+    def test_any_order_of_starting_forms_one_system(self):
+        for seed in range(20):
+            self.cluster = Cluster(seed, delay=(0.001, 0.04))
+            self.oracle = Oracle(self.cluster)
+            for core_id in CORE_IDS:
+                delay = self.cluster.random.uniform(0.0, 0.3)
+                self.cluster.at(delay, lambda core_id=core_id: self.cluster.start(core_id))
+            self.assertTrue(self.cluster.run(2.0, lambda: self.cluster.primary() is not None))
+
+
+class UnderFaults(unittest.TestCase):
+    def test_no_seed_breaks_a_promise_while_members_change(self):
+        counts = {}
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                oracle, faults = run_seed(seed, kind=Replacements)
+                self.assertTrue(oracle.acknowledged)
+                for kind, count in faults.counts.items():
+                    counts[kind] = counts.get(kind, 0) + count
+        self.assertGreater(counts.get("replaced", 0), 1)
+        self.assertGreater(counts.get("replaced as planned", 0), 1)
+
+    def test_no_seed_breaks_a_promise_with_six(self):
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                oracle, _ = run_seed(seed, core_ids=SIX, minimum_copies=3)
+                self.assertTrue(oracle.acknowledged)
+
+
+class Votes(unittest.TestCase):
+    def test_majorities(self):
+        self.assertEqual([majority(n) for n in range(1, 8)], [1, 2, 2, 3, 3, 4, 4])
+        self.assertEqual([readers_needed(n) for n in range(1, 8)], [1, 1, 2, 2, 3, 3, 4])
+        old, new = {"a", "b", "c"}, {"a", "b", "d"}
+        self.assertFalse(agree({"a", "d"}, [old, new]))
+        self.assertTrue(agree({"a", "b"}, [old, new]))
