--- a/rooklug/gateway/decision.py
+++ b/rooklug/gateway/decision.py
@@ -9,16 +9,21 @@
 from rooklug.gateway.cold_gate import ColdGate
 from rooklug.gateway.document import Route, Service
 from rooklug.gateway.prefix_table import PrefixTable
+from rooklug.gateway.read_rate import ReadRate
 from rooklug.gateway.replica_load import ReplicaLoad
 from rooklug.gateway.requests import PassedRequest
 from rooklug.gateway.view import GatewayReplica, GatewayView
 
-READ_AGAIN_WEIGHT = 3.0
-"""A shared token read again costs as much as waiting for so many tokens of others."""
+READ_AGAIN_WEIGHT = 5.0
+"""Reading shared tokens again weighs as much as waiting so many times as long."""
 LIKELY_HELD_SHARE = 0.5
 """Weight of a token at the replica that all fronts agree on: another front may have sent it."""
 RUNNING_TOKENS = 60.0
 """A running request slows the others as much as so many prompt tokens."""
+PATIENCE_SHARE = 0.5
+"""A wait of more than this part of the route's latency objective endangers it."""
+LATE_WEIGHT = 10.0
+"""Weight of each second beyond that."""
 RETRY_AFTER_COLD_S = 0.5
 RETRY_AFTER_NO_REPLICA_S = 1.0
 
@@ -52,6 +57,7 @@
     view: GatewayView = attrs.field(factory=GatewayView)
     loads: dict[str, ReplicaLoad] = attrs.field(factory=dict)
     prefixes: PrefixTable = attrs.field(factory=PrefixTable)
+    read_rate: ReadRate = attrs.field(factory=ReadRate)
 
     def service_for(self, request: PassedRequest, route: Route) -> Service:
         """Return the service that a request draws by the route's weights."""
@@ -104,7 +110,11 @@
     ) -> None:
         """Count a request that goes out."""
         missing = self.prefixes.missing(replica.replica_id, request.parts, now)
-        self._load(replica).sent(call_id, missing, now)
+        load = self._load(replica)
+        ahead = load.waiting_tokens
+        load.sent(call_id, missing, now)
+        if service.engine is not None:
+            self.read_rate.sent(call_id, ahead + missing, now)
         if service.engine is not None:
             memory = service.engine.key_value_tokens
             self.prefixes.used(replica.replica_id, request.parts, memory, now)
@@ -114,6 +124,7 @@
     def heard(self, call_id: int, replica: GatewayReplica, now: float) -> None:
         """Note bytes of an answer."""
         self._load(replica).heard(call_id, now)
+        self.read_rate.heard(call_id, now)
 
     def ended(
         self, call_id: int, replica: GatewayReplica, outcome: AttemptOutcome | None, now: float
@@ -121,6 +132,7 @@
         """Count the end of a request; None says nothing about the replica."""
         load = self._load(replica)
         load.ended(call_id, now)
+        self.read_rate.ended(call_id)
         if outcome is AttemptOutcome.SUCCESS:
             load.health.succeeded()
         elif outcome is not None:
@@ -162,24 +174,31 @@
         now: float,
     ) -> GatewayReplica:
         if route.affinity and request.parts:
-            return self._pick_by_cost(request, candidates, now)
+            return self._pick_by_cost(request, route, candidates, now)
         return min(candidates, key=lambda r: (self._running(r), r.zone != self.zone, self._tie()))
 
     def _pick_by_cost(
-        self, request: PassedRequest, candidates: list[GatewayReplica], now: float
+        self,
+        request: PassedRequest,
+        route: Route,
+        candidates: list[GatewayReplica],
+        now: float,
     ) -> GatewayReplica:
-        """Return the replica with the least to read and to wait for, in prompt tokens."""
+        """Return the replica with the least cost, in seconds: waiting, and reading again."""
         shared = request.parts[:-1] or request.parts
-        likely = max(candidates, key=lambda r: _rank(shared[-1].part_id, r.replica_id))
+        ranks = {r.replica_id: _rank(shared[-1].part_id, r.replica_id) for r in candidates}
+        likely = max(candidates, key=lambda r: ranks[r.replica_id]).replica_id
+        patience_s = route.latency_objective_s * PATIENCE_SHARE
+        rate = self.read_rate.tokens_per_s
 
-        def cost(replica: GatewayReplica) -> tuple[float, bool, int]:
+        def cost(replica: GatewayReplica) -> tuple[float, int]:
             load = self._load(replica)
-            again = READ_AGAIN_WEIGHT * self.prefixes.missing(replica.replica_id, shared, now)
-            if replica is likely:
-                again *= LIKELY_HELD_SHARE
-            waiting = load.waiting_tokens + RUNNING_TOKENS * load.running
-            rank = _rank(shared[-1].part_id, replica.replica_id)
-            return (again + waiting, replica.zone != self.zone, -rank)
+            missing = self.prefixes.missing(replica.replica_id, shared, now)
+            wait_s = (load.waiting_tokens + missing + RUNNING_TOKENS * load.running) / rate
+            held = LIKELY_HELD_SHARE if replica.replica_id == likely else 1.0
+            again_s = missing * held * READ_AGAIN_WEIGHT / rate
+            late_s = max(wait_s - patience_s, 0.0) * LATE_WEIGHT
+            return (wait_s + again_s + late_s, -ranks[replica.replica_id])
 
         return min(candidates, key=cost)
 
--- a/rooklug/gateway/directory.py
+++ b/rooklug/gateway/directory.py
@@ -15,9 +15,8 @@
 READINESS_LISTENER = "readiness"
 MAX_ADDRESSES = 64
 LEAST_FRONTS = 2
-"""A place with fewer ready fronts sends its clients to a wider one."""
-FRONTS_SHARE = 1 / 3
-"""Part of a place's fronts that its clients are sent to: fewer fronts know more of the load of
+FRONTS_SHARE = 1 / 4
+"""Part of a region's fronts that its clients are sent to: fewer fronts know more of the load of
 each replica and of what it holds, and keep fewer connections; the rest stand by."""
 _JSON = {"content-type": "application/json"}
 
@@ -68,7 +67,8 @@
         fronts = self._keeper.view.ready_fronts()
         if not fronts:
             return [self._own_address] if not self._lifecycle.reason_not_ready() else []
-        nearest = _nearest(fronts, question, self._homes(question))
+        view = self._keeper.view
+        nearest = _nearest(fronts, question, self._homes(question), view.core_machines)
         return sorted(node.http_address for node in nearest)
 
     def _homes(self, question: WhereQuestion) -> frozenset[str]:
@@ -77,18 +77,35 @@
 
 
 def _nearest(
-    fronts: list[NodeRecord], question: WhereQuestion, homes: frozenset[str]
+    fronts: list[NodeRecord],
+    question: WhereQuestion,
+    homes: frozenset[str],
+    core_machines: frozenset[str],
 ) -> list[NodeRecord]:
-    """Return the fronts of the nearest place that has enough of them."""
+    """Return the fronts that take the traffic of the nearest allowed region."""
     allowed = [node for node in fronts if not homes or node.region in homes] or fronts
-    in_zone = [node for node in allowed if node.zone == question.zone]
-    if len(in_zone) >= LEAST_FRONTS:
-        return _some(in_zone)
     in_region = [node for node in allowed if node.region == question.region]
-    return _some(in_region) or allowed
+    return _some(in_region or allowed, core_machines)
 
 
-def _some(fronts: list[NodeRecord]) -> list[NodeRecord]:
-    """Return the part of the fronts that takes traffic, the same in every opinion."""
+def _some(fronts: list[NodeRecord], core_machines: frozenset[str]) -> list[NodeRecord]:
+    """Return the part of the fronts that takes traffic, the same in every opinion.
+
+    Zones take turns, and machines that also run a core come last: they have other work, and
+    what strikes the core need not strike the traffic.
+    """
     count = max(LEAST_FRONTS, math.ceil(len(fronts) * FRONTS_SHARE))
-    return sorted(fronts, key=lambda node: node.node_id)[:count]
+    by_zone: dict[str, list[NodeRecord]] = {}
+    for node in sorted(
+        fronts, key=lambda n: (_machine(n.http_address) in core_machines, n.node_id)
+    ):
+        by_zone.setdefault(node.zone, []).append(node)
+    ranked = [
+        (place, zone, node) for zone, nodes in by_zone.items() for place, node in enumerate(nodes)
+    ]
+    ranked.sort(key=lambda entry: (_machine(entry[2].http_address) in core_machines, *entry[:2]))
+    return [node for _, _, node in ranked[:count]]
+
+
+def _machine(address: str) -> str:
+    return address.rpartition(":")[0]
--- a/rooklug/gateway/prefix_table.py
+++ b/rooklug/gateway/prefix_table.py
@@ -8,7 +8,7 @@
 
 HELD_S = 9.0
 """A part that wasn't used for so long counts as gone: others may have displaced it."""
-MEMORY_SHARE = 0.5
+MEMORY_SHARE = 0.8
 """Share of a replica's memory that is taken to hold cached parts; requests use the rest."""
 DEFAULT_MEMORY_TOKENS = 100_000
 
--- a/rooklug/gateway/view.py
+++ b/rooklug/gateway/view.py
@@ -41,13 +41,17 @@
 
 @attrs.frozen
 class GatewayView:
-    """What decisions read. ``configuration`` is None before the first one came."""
+    """What decisions read. ``configuration`` is None before the first one came.
+
+    ``core_machines`` are the IP addresses of the machines that run a core.
+    """
 
     configuration: GatewayConfiguration | None = None
     replicas: dict[str, tuple[GatewayReplica, ...]] = attrs.field(factory=dict)
     is_listed: bool = False
     emptied_zones: frozenset[str] = frozenset()
     fronts: tuple[NodeRecord, ...] = ()
+    core_machines: frozenset[str] = frozenset()
     matrix: dict[MatrixKey, tuple[RegionShare, ...]] = attrs.field(factory=dict)
 
     def usable(self, service: str, homes: tuple[str, ...]) -> list[GatewayReplica]:
--- a/rooklug/gateway/view_keeper.py
+++ b/rooklug/gateway/view_keeper.py
@@ -57,7 +57,8 @@
 
     def _take_members(self, body: MembersBody, now: float) -> list[fx.Effect]:
         fronts = tuple(node for node in body.nodes if node.role == FRONT_ROLE)
-        self.view = attrs.evolve(self.view, fronts=fronts)
+        machines = {address.rpartition(":")[0] for address in body.core_addresses or ()}
+        self.view = attrs.evolve(self.view, fronts=fronts, core_machines=frozenset(machines))
         return []
 
     def _take_replicas(self, body: ReplicasBody, now: float) -> list[fx.Effect]:
