Core: a restarted primary keeps asking for its place; a lost disk of the primary frees the others

Change: it tries again every 0.1 s for 3 s; a witness that is read by its leader's new disk gives the quiet time back.

--- a/rooklug/core/constants.py
+++ b/rooklug/core/constants.py
@@ -23,6 +23,9 @@
 FAILOVER_STEP_S = 0.15
 FAILOVER_JITTER_S = 0.2
 RETRY_S = 0.3
+# A primary that was restarted asks for its place again so often, for so long.
+RESUME_RETRY_S = 0.1
+RESUME_S = 3.0
 RETRY_JITTER_S = 0.5
 READ_WITNESS_S = 0.3
 DRAIN_S = 0.25
--- a/rooklug/core/node.py
+++ b/rooklug/core/node.py
@@ -13,6 +13,8 @@
     LOG_FILE,
     MESSAGE_DEADLINE_S,
     QUIET_S,
+    RESUME_RETRY_S,
+    RESUME_S,
     RETRY_JITTER_S,
     RETRY_S,
     STOP_GRACE_S,
@@ -35,7 +37,7 @@
 from rooklug.core.store import CopyStore
 from rooklug.core.types import Position, View
 from rooklug.core.views import ViewChanger
-from rooklug.core.witness import Witness, blank_state
+from rooklug.core.witness import NEVER, Witness, blank_state
 from rooklug.engine import effects as fx
 from rooklug.engine import events as ev
 from rooklug.engine.composite import PartDefaults
@@ -101,8 +103,9 @@
         self._stopping = False
         self._candidate_after = 0.0
         # The primary of the newest view known, restarted: no lease but its own can stand in
-        # its way, and that one ended with its process.
-        self._was_primary = False
+        # its way, and that one ended with its process. It tries again and again for a while,
+        # since the others may be starting too.
+        self._resumes_until = NEVER
         self._patience = self._random.uniform(0.0, FAILOVER_JITTER_S)
         self._call_handlers = {
             wire.PrepareRequest: self.witness.on_prepare,
@@ -181,7 +184,8 @@
         reason = found.reason or (f"the log is damaged: {problem}" if problem else "")
         if found.witness is not None and not reason:
             self.witness.load(found.witness, now)
-            self._was_primary = self.witness.leader == found.witness.own
+            if self.witness.leader == found.witness.own:
+                self._resumes_until = now + RESUME_S
         else:
             own = new_disk(self.peers.own_id, event, self._context.incarnation)
             self.outbox.log("warning", "this disk begins a new life", reason=reason)
@@ -220,7 +224,7 @@
             return False
         if self.disk.oldest_age(now) >= SYNC_DEADLINE_S / 2:
             return False
-        if self._was_primary:
+        if now < self._resumes_until:
             return now >= self._candidate_after
         rank = state.view.in_sync.index(state.own)
         patience = self._patience + rank * FAILOVER_STEP_S
@@ -239,13 +243,12 @@
         self.changes.append_ready(now)
 
     def _on_round_failed(self, reason: str, now: float) -> None:
-        self._was_primary = False
         self.outbox.log("info", "a view change failed", reason=reason)
-        self._candidate_after = now + RETRY_S
+        self._candidate_after = now + (RESUME_RETRY_S if now < self._resumes_until else RETRY_S)
         self._patience = self._random.uniform(0.0, RETRY_JITTER_S)
 
     def _on_heard(self, epoch: int, primary_id: str, now: float) -> None:
-        self._was_primary = False
+        self._resumes_until = NEVER
         deposed = self.leader.view is not None and epoch > self.leader.epoch
         if deposed and primary_id != self.peers.own_id:
             self.leader.stop("another core leads", now)
--- a/rooklug/core/witness.py
+++ b/rooklug/core/witness.py
@@ -121,8 +121,15 @@
         if state is None:
             self._outbox.answer(call_id, self._read_answer(False))
             return
+        self._release_if_replaced(disk_from_wire(request.reader), now)
         self.save(state, now, lambda now: self._outbox.answer(call_id, self._read_answer(True)))
 
+    def _release_if_replaced(self, reader: MemberDisk, now: float) -> None:
+        """A primary that comes back with another disk has no lease any more."""
+        leader = self.leader
+        if leader is not None and leader.core_id == reader.core_id and leader != reader:
+            self.heard_at = min(self.heard_at, now - QUIET_S)
+
     def on_form(self, call_id: int, request: wire.FormViewRequest, now: float) -> None:
         """Answer the request to accept the very first view."""
         state = witness_rules.form(self.state, view_from_wire(request.view))
--- a/tests/test_core_members.py
+++ b/tests/test_core_members.py
@@ -143,6 +143,36 @@
             self.assertTrue(self.cluster.run(2.0, lambda: self.cluster.primary() is not None))
 
 
+class ComingBack(MemberCase):
+    """All processes end at once and come back: how soon is there a primary again?"""
+
+    def last_start(self, wiped: bool, seed: int) -> float:
+        self.begin(seed=seed)
+        self.wait_whole(3.0)
+        self.change(1)
+        primary = self.cluster.primary().core_id
+        for core_id in CORE_IDS:
+            self.cluster.crash(core_id)
+        if wiped:
+            self.cluster.lose_disk(primary)
+        self.cluster.first_start = False
+        for core_id in CORE_IDS:
+            delay = self.cluster.random.uniform(0.0, 0.4)
+            self.cluster.at(delay, lambda core_id=core_id: self.cluster.start(core_id))
+        began = self.cluster.now + 0.4
+        self.assertTrue(self.cluster.run(began + 10.0, lambda: self.cluster.primary() is not None))
+        self.change(2)
+        return self.cluster.now - began
+
+    def test_the_old_primary_leads_again_at_once(self):
+        for seed in range(20):
+            self.assertLess(self.last_start(False, seed), 0.6)
+
+    def test_a_primary_that_lost_its_disk_frees_the_others(self):
+        for seed in range(20):
+            self.assertLess(self.last_start(True, seed), 1.2)
+
+
 class UnderFaults(unittest.TestCase):
     def test_no_seed_breaks_a_promise_while_members_change(self):
         counts = {}
