Fronts leave a replica alone after one reset before any answer

A refused connection already counted at once; a reset right after sending says as much. The test fails without it.

--- a/rooklug/front/health.py
+++ b/rooklug/front/health.py
@@ -12,6 +12,7 @@
 # Failures in a row that eject a replica, by the kind of the last one.
 FAILURES_TO_EJECT = {
     AttemptOutcome.CONNECT_FAILED: 1,
+    AttemptOutcome.RESET: 1,
     AttemptOutcome.TIMED_OUT: 2,
     AttemptOutcome.BROKEN: 3,
 }
--- a/rooklug/front/outcomes.py
+++ b/rooklug/front/outcomes.py
@@ -10,6 +10,7 @@
     BUSY = "busy"
     NOT_LOADED = "not loaded"
     CONNECT_FAILED = "connect failed"
+    RESET = "the connection ended before any answer"
     TIMED_OUT = "timed out"
     BROKEN = "broken"
     CANCELLED = "cancelled"
--- a/rooklug/gateway/executor.py
+++ b/rooklug/gateway/executor.py
@@ -309,7 +309,10 @@
                 return self._give_up(passage, now, RETRY_AFTER_FULL_S)
             return self._send(passage, now)
         timed_out = passage.left_s(now) <= LEAST_TIME_TO_SEND_S
-        outcome = AttemptOutcome.TIMED_OUT if timed_out else AttemptOutcome.BROKEN
+        unanswered = event.send_state is ev.SendState.MAYBE_SENT
+        outcome = AttemptOutcome.RESET if unanswered else AttemptOutcome.BROKEN
+        if timed_out:
+            outcome = AttemptOutcome.TIMED_OUT
         self._ended_at_replica(passage, outcome, now)
         passage.may_have_run = True
         if passage.stage is Stage.STREAMING:
--- a/tests/test_gateway_balancing.py
+++ b/tests/test_gateway_balancing.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from rooklug.engine import events as ev
 from rooklug.gateway.prefix_table import HELD_S, PrefixTable
 from rooklug.gateway.read_rate import ReadRate
 from rooklug.gateway.replica_load import SILENCE_S, ReplicaLoad
@@ -108,6 +109,13 @@
         (answer,) = front.request("/s/1", headers={NAMES.deadline_ms: "600"})
         self.assertLessEqual(float(answer.headers["retry-after"]), 0.2)
 
+    def test_a_replica_that_resets_a_connection_is_left_alone_for_a_while(self):
+        first = self.send("aa:3000,bb:5000,cc:10")
+        self.front.handle(ev.HttpFailed(first.call_id, "reset", ev.SendState.MAYBE_SENT))
+        self.assertNotEqual(self.send("aa:3000,bb:5000,dd:10").address, first.address)
+        self.front.now += 2.0
+        self.assertEqual(self.send("aa:3000,bb:5000,ee:10").address, first.address)
+
     def test_a_silent_replica_is_passed_over(self):
         first = self.send("aa:3000,bb:5000,cc:10")
         self.front.now += SILENCE_S + 0.1
