Zone orders that were held up on their way are not carried out after later ones

A forwarded order names the newest zone order its core knew; the primary answers 'unavailable' once it knows a later one, and the core tries again with what it knows then. The new test has the order accepted without the guard.

--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -250,6 +250,7 @@
   1: required string zone
   2: required bool emptied
   3: required string operation_id         // a repeat is acknowledged again
+  4: optional VersionMark known_zones     // set: taken only while no later order is committed
 }
 struct SetZoneAnswer {
   1: required string outcome              // as SubmitChangeAnswer.outcome
--- a/rooklug/core/changes.py
+++ b/rooklug/core/changes.py
@@ -17,6 +17,7 @@
 from rooklug.core.store import CopyStore
 from rooklug.engine import effects as fx
 from rooklug.model.constants import MAX_SAFE_INTEGER
+from rooklug.model.marks import is_newer
 from rooklug.wire.generated.control.ttypes import (
     SetZoneAnswer,
     SetZoneRequest,
@@ -76,7 +77,7 @@
             self._answer(submission, "invalid", problems=problems)
         elif self._decided(submission, self._judge(submission)):
             return
-        elif len(self._waiting) >= MAX_WAITING_CHANGES:
+        elif self._is_outdated(request) or len(self._waiting) >= MAX_WAITING_CHANGES:
             self._answer(submission, "unavailable")
         else:
             self._waiting.append(submission)
@@ -144,6 +145,15 @@
         self._waiting.clear()
         self._ledger = None
 
+    def _is_outdated(self, request: SubmitChangeRequest | SetZoneRequest) -> bool:
+        """Tell whether a zone order was held up on its way while later ones were taken.
+
+        Its operator has long gone on: carried out now, it would undo what came after it.
+        """
+        if not isinstance(request, SetZoneRequest) or request.known_zones is None:
+            return False
+        return is_newer(self._store.state.zones_mark(), request.known_zones)
+
     def _judge(self, submission: Submission) -> Judgement:
         if self._ledger is None:
             uncommitted = self._store.log.after(self._store.committed)
--- a/rooklug/gateway/operators.py
+++ b/rooklug/gateway/operators.py
@@ -22,12 +22,14 @@
     SubmitOrder,
     ZoneOrder,
 )
-from rooklug.model.notices import PrimaryKnown
+from rooklug.model.marks import ZERO_MARK
+from rooklug.model.notices import PrimaryKnown, ZonesCommitted
 from rooklug.wire.generated.control.ttypes import (
     ReadConfigurationAnswer,
     ReadConfigurationRequest,
     SetZoneRequest,
     SubmitChangeRequest,
+    VersionMark,
 )
 
 LISTENER = "operators"
@@ -58,12 +60,13 @@
 
     name = "operators"
     http_listeners = (LISTENER,)
-    notice_types = (PrimaryKnown,)
+    notice_types = (PrimaryKnown, ZonesCommitted)
 
     def __init__(self, dialect: ControlDialect, context: ProcessContext) -> None:
         self._dialect = dialect
         self._context = context
         self._primary = ""
+        self._known_zones = ZERO_MARK
         self._by_http: dict[int, _Forward] = {}
         self._by_call: dict[int, _Forward] = {}
 
@@ -72,6 +75,8 @@
         match event:
             case PrimaryKnown():
                 self._primary = event.address
+            case ZonesCommitted():
+                self._known_zones = event.mark
             case ev.HttpRequestArrived():
                 return self._arrived(event, now)
             case ev.CallAnswered():
@@ -123,6 +128,8 @@
         forward.call_id = self._context.identifiers.next()
         self._by_call[forward.call_id] = forward
         left_s = forward.ends_at - now
+        if isinstance(forward.message, SetZoneRequest):
+            forward.message = _resting_on(forward.message, self._known_zones)
         return [fx.Call(forward.call_id, self._primary, forward.message, left_s)]
 
     def _later(self, forward: _Forward | None, now: float) -> list[fx.Effect]:
@@ -160,5 +167,10 @@
         return [_respond(forward.http_id, status, body)]
 
 
+def _resting_on(order: SetZoneRequest, known_zones: VersionMark) -> SetZoneRequest:
+    """Return the order with what this core knows now: one that arrives late is not taken."""
+    return SetZoneRequest(order.zone, order.emptied, order.operation_id, known_zones)
+
+
 def _respond(http_id: int, status: int, body: dict) -> fx.HttpRespond:
     return fx.HttpRespond(http_id, status, json.dumps(body).encode(), _JSON)
--- a/tests/test_core_scenarios.py
+++ b/tests/test_core_scenarios.py
@@ -449,3 +449,18 @@
         rival = wire.MemberDisk(core_id="core-b", disk_id="disk-core-b:core-b-1")
         answer = ask(cluster, "core-c", wire.PrepareRequest(proposer=rival, epoch=10))
         self.assertFalse(answer.granted)
+
+
+class HeldUpOrderTest(unittest.TestCase):
+    def test_a_zone_order_that_was_held_up_undoes_nothing(self) -> None:
+        cluster = started()
+        primary = cluster.primary()
+        known = primary.part.store.state.zones_mark()
+        empty = control.SetZoneRequest("zone-1", True, "first", known)
+        self.assertEqual(ask(cluster, primary.core_id, empty).outcome, "accepted")
+        known = primary.part.store.state.zones_mark()
+        back = control.SetZoneRequest("zone-1", False, "second", known)
+        self.assertEqual(ask(cluster, primary.core_id, back).outcome, "accepted")
+        held_up = control.SetZoneRequest("zone-1", True, "late", empty.known_zones)
+        self.assertEqual(ask(cluster, primary.core_id, held_up).outcome, "unavailable")
+        self.assertEqual(primary.part.store.state.zones_body().emptied_zones, [])
