--- a/rooklug/runtime/disk.py
+++ b/rooklug/runtime/disk.py
@@ -23,14 +23,19 @@
 
 
 class Disk:
-    """Obeys ``WriteRecords`` and ``RewriteFile``; the event loop never waits for it."""
+    """Obeys ``WriteRecords`` and ``RewriteFile``; the event loop never waits for it.
+
+    ``memory_only``: the machine has no disk, and what is written lasts as long as the process.
+    """
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
         folder: DataFolder | None,
         deliver: Callable[[Event], None],
+        memory_only: bool = False,
     ) -> None:
+        self._memory_only = memory_only
         self._loop = loop
         self._folder = folder
         self._deliver = deliver
@@ -42,6 +47,9 @@
 
     def submit(self, effect: WriteRecords | RewriteFile) -> None:
         """Queue a write."""
+        if self._memory_only:
+            self._deliver(WriteFinished(effect.ticket, 0.0))
+            return
         if self._folder is None:
             self._deliver(WriteFailed(effect.ticket, _NO_FOLDER))
             return
--- a/rooklug/runtime/host.py
+++ b/rooklug/runtime/host.py
@@ -54,7 +54,8 @@
     """Delivers events to a reducer one at a time, and obeys its effects in order.
 
     ``listen_*`` are "ip:port" ("" for none, port 0 for any free one); ``listeners`` are
-    further HTTP addresses by the name that their requests carry. ``await start()``,
+    further HTTP addresses by the name that their requests carry. ``memory_only``: without a
+    data folder, writes count as done; the state lasts as long as the process. ``await start()``,
     then ``await stopped()`` returns the exit code. An exception of the reducer is a broken
     invariant: it is logged, and the exit code is ``EXIT_BROKEN_INVARIANT``.
     """
@@ -68,6 +69,7 @@
         listeners: dict[str, str] | None = None,
         bind_ip: str = "",
         data_folder: str = "",
+        memory_only: bool = False,
         node_id: str = "",
         log_level: str = "info",
         log_stream: TextIO | None = None,
@@ -82,6 +84,7 @@
         self._listeners = listeners or {}
         self._bind_ip = bind_ip
         self._data_folder = data_folder
+        self._memory_only = memory_only
         self._node_id = node_id
         self._stop_grace_s = stop_grace_s
         self._running = False
@@ -257,7 +260,7 @@
 
     def _open_disk(self) -> FolderContents:
         if not self._data_folder:
-            self._disk = Disk(self._loop, None, self._deliver)
+            self._disk = Disk(self._loop, None, self._deliver, self._memory_only)
             return FolderContents("", "", {})
         opened = open_folder(self._data_folder, self._node_id)
         if opened.is_error():
--- a/tests/test_runtime_host.py
+++ b/tests/test_runtime_host.py
@@ -131,3 +131,18 @@
 
     def _call(self, call_id: int, address: str, deadline_s: float = 5.0) -> fx.Call:
         return fx.Call(call_id, address, ReadStatusRequest(), deadline_s)
+
+
+class WithoutDiskTest(HostCase, unittest.IsolatedAsyncioTestCase):
+    async def test_a_machine_without_a_disk_keeps_its_state_in_memory(self) -> None:
+        reducer = FunctionReducer()
+        host = await self.start_host(reducer, memory_only=True)
+        obey(host, fx.WriteRecords(7, "file", (b"a",)), fx.RewriteFile(8, "file", (b"b",)))
+        await reducer.wait_for(ev.WriteFinished, ticket=7)
+        await reducer.wait_for(ev.WriteFinished, ticket=8)
+
+    async def test_a_process_that_should_have_a_folder_fails_without_one(self) -> None:
+        reducer = FunctionReducer()
+        host = await self.start_host(reducer)
+        obey(host, fx.WriteRecords(7, "file", (b"a",)))
+        await reducer.wait_for(ev.WriteFailed, ticket=7)
