A core whose disk refuses writes ends and is started again

Cause, by reading: after a disk that was full for a while (kind disk_full) the core stayed failed until somebody restarted it; one more loss then left one of three. Nothing restarts a process that doesn't end. Change: where a supervisor starts processes again (a setting), the core hands over, ends 0.5 s after the failed write with exit code 1, and comes back as a member. The new test fails without it.

--- a/rooklug/core/constants.py
+++ b/rooklug/core/constants.py
@@ -33,6 +33,8 @@
 REJOIN_BACKOFF_S = 1.0
 REJOIN_BACKOFF_LIMIT_S = 10.0
 STOP_GRACE_S = 0.5
+# A core whose disk refuses writes ends so much later: its supervisor tries again.
+FAILED_EXIT_S = 0.5
 
 EPOCH_SLOTS = 3
 MINIMUM_IN_SYNC = 2
--- a/rooklug/core/node.py
+++ b/rooklug/core/node.py
@@ -7,6 +7,7 @@
 from rooklug.core.backup import Backup
 from rooklug.core.changes import ChangeIntake
 from rooklug.core.constants import (
+    FAILED_EXIT_S,
     FAILOVER_JITTER_S,
     FAILOVER_STEP_S,
     LEASE_S,
@@ -47,6 +48,8 @@
 from rooklug.wire.generated.core import ttypes as wire
 
 STOP_TIMER = "stop"
+FAILED_TIMER = "failed"
+EXIT_FAILED = 1
 
 
 class ControlStatePart(PartDefaults):
@@ -100,6 +103,7 @@
         self.changes = ChangeIntake(self.outbox, self.store, self.leader, checker)
         self.announcer = Announcer(self.outbox, self.store)
         self.failure = ""
+        self._exits_on_failed_write = settings.exits_on_failed_write
         self._stopping = False
         self._candidate_after = 0.0
         # The primary of the newest view known, restarted: no lease but its own can stand in
@@ -175,6 +179,8 @@
         elif isinstance(event, ev.WriteFailed):
             self.disk.failed(event.reason)
             self._fail(f"a write failed: {event.reason}", now)
+            if self._exits_on_failed_write:
+                self.outbox.add(fx.StartTimer(FAILED_TIMER, FAILED_EXIT_S))
         elif isinstance(event, ev.Computed):
             self.changes.computed(event.ticket, event.result, event.error, now)
 
@@ -194,6 +200,9 @@
         self.outbox.add(fx.StartTimer(TICK_TIMER, TICK_S))
 
     def _on_timer(self, name: str, now: float) -> None:
+        if name == FAILED_TIMER:
+            self.outbox.add(fx.StopProcess(EXIT_FAILED, self.failure))
+            return
         if name == STOP_TIMER:
             self.outbox.add(fx.StopProcess(0, "stopped on request"))
             return
--- a/tests/core_cluster.py
+++ b/tests/core_cluster.py
@@ -123,6 +123,7 @@
         minimum_copies: int = 2,
     ) -> None:
         self.minimum_copies = minimum_copies
+        self.exits_on_failed_write = False
         self.size = len(core_ids)
         self.first_start = True
         self.seeds = CORE_IDS  # what new settings name
@@ -184,7 +185,9 @@
         )
         core.recorder = Recorder()
         founders = {seed: ADDRESSES[seed] for seed in self.seeds}
-        settings = CoreSettings(node, founders, self.first_start, self.minimum_copies)
+        settings = CoreSettings(
+            node, founders, self.first_start, self.minimum_copies, self.exits_on_failed_write
+        )
         parts = build_core_parts(settings, context, STAND_IN_CHECKER)
         core.reducer = CompositeReducer([*parts, core.recorder])
         files = {file: tuple(records) for file, records in core.disk.files.items()}
--- a/tests/test_core_members.py
+++ b/tests/test_core_members.py
@@ -173,6 +173,27 @@
             self.assertLess(self.last_start(True, seed), 1.2)
 
 
+class FullDisk(MemberCase):
+    def test_a_core_whose_disk_was_full_for_a_while_votes_again(self):
+        self.begin()
+        self.wait_whole(3.0)
+        self.cluster.exits_on_failed_write = True
+        self.cluster.first_start = False
+        for core_id in CORE_IDS:
+            self.cluster.crash(core_id)
+            self.cluster.start(core_id)
+        self.wait_whole(5.0)
+        full = self.cluster.primary().core_id
+        self.cluster.deliver(full, ev.WriteFailed(0, "no space left"))
+        self.cluster.run(self.cluster.now + 1.0)
+        self.assertFalse(self.cluster.cores[full].alive)
+        self.cluster.start(full)
+        self.wait_whole(5.0)
+        other = next(core_id for core_id in CORE_IDS if core_id != full)
+        self.cluster.crash(other)
+        self.change(1)
+
+
 class UnderFaults(unittest.TestCase):
     def test_no_seed_breaks_a_promise_while_members_change(self):
         counts = {}
