--- a/tests/core_cluster.py
+++ b/tests/core_cluster.py
@@ -80,6 +80,7 @@
     busy_until: float = 0.0
     sync: tuple[float, float] | None = None
     problem: str = ""
+    full: bool = False
 
 
 @attrs.define(eq=False)
@@ -367,6 +368,11 @@
     # disks --------------------------------------------------------------------
 
     def _write(self, core: Core, effect: fx.WriteRecords | fx.RewriteFile) -> None:
+        if core.disk.full:
+            failed = ev.WriteFailed(effect.ticket, "no space left")
+            life = core.life
+            self.at(0.001, lambda: self._deliver_to_life(core, life, failed))
+            return
         core.unsynced.append(effect)
         begin = max(self.now, core.disk.busy_until, core.disk.stalled_until)
         core.disk.busy_until = begin + self.random.uniform(*(core.disk.sync or self.sync))
--- a/tests/test_core_members.py
+++ b/tests/test_core_members.py
@@ -184,14 +184,18 @@
             self.cluster.start(core_id)
         self.wait_whole(5.0)
         full = self.cluster.primary().core_id
-        self.cluster.deliver(full, ev.WriteFailed(0, "no space left"))
-        self.cluster.run(self.cluster.now + 1.0)
-        self.assertFalse(self.cluster.cores[full].alive)
+        self.cluster.cores[full].disk.full = True
+        self.change(1)
+        self.assertTrue(self.cluster.run(self.cluster.now + 2.0, lambda: not self.is_alive(full)))
+        self.cluster.cores[full].disk.full = False
         self.cluster.start(full)
         self.wait_whole(5.0)
         other = next(core_id for core_id in CORE_IDS if core_id != full)
         self.cluster.crash(other)
-        self.change(1)
+        self.change(2)
+
+    def is_alive(self, core_id: str) -> bool:
+        return self.cluster.cores[core_id].alive
 
 
 class UnderFaults(unittest.TestCase):
