--- /dev/null
+++ b/rooklug_lab/gateway/oracles.py
@@ -0,0 +1,199 @@
+"""What must hold of a gateway deployment, judged from what was seen outside it.
+
+Bounds are those of the users' brief: four seconds for a leaving replica, five for an emptied
+zone, three for a change, twelve to a quarter of the traffic.
+"""
+
+import json
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterator
+
+from rooklug_lab.gateway.journal import Journal, Order, Run
+from rooklug_lab.gateway.replicas import whole_stream
+
+LEAVING_S = 4.0
+EMPTIED_S = 5.0
+IN_FORCE_S = 3.0
+RECOVERY_S = 12.0
+IN_TOUCH_S = 4.0
+QUARTER = 0.25
+COLD_FACTOR = 1.5
+COLD_SLACK = 5
+ACKNOWLEDGED_WITHIN_S = 5.0
+
+Oracle = Callable[[Journal, float], Iterator[str]]
+
+
+def runs_once(journal: Journal, cold_rate: float) -> Iterator[str]:
+    """No request of these routes runs twice: none may be repeated or resumed."""
+    for request_id, count in Counter(run.request_id for run in journal.runs).items():
+        if count > 1:
+            yield f"{request_id} ran {count} times"
+
+
+def asked_by_a_client(journal: Journal, cold_rate: float) -> Iterator[str]:
+    """Replicas run only what a client has sent."""
+    sent = {attempt.request_id for attempt in journal.attempts}
+    for run in journal.runs:
+        if run.request_id not in sent:
+            yield f"{run.request_id} ran, and nobody sent it"
+
+
+def promises_hold(journal: Journal, cold_rate: float) -> Iterator[str]:
+    """What was answered 503 has not run, and never does."""
+    ran = {run.request_id for run in journal.runs}
+    for attempt in journal.attempts:
+        if attempt.status == 503 and attempt.request_id in ran:
+            yield f"{attempt.request_id} was promised not to have run"
+
+
+def answers_are_whole(journal: Journal, cold_rate: float) -> Iterator[str]:
+    """A success is the whole answer of the replica that ran the request."""
+    ran_at = defaultdict(set)
+    for run in journal.runs:
+        ran_at[run.request_id].add(run.replica_id)
+    for attempt in journal.attempts:
+        if not attempt.served:
+            continue
+        if attempt.signature not in ran_at[attempt.request_id]:
+            yield f"{attempt.request_id} has the signature {attempt.signature!r}"
+        expected = f"{attempt.request_id}@{attempt.signature}".encode()
+        if attempt.is_stream:
+            expected = whole_stream(attempt.request_id)
+        if attempt.body != expected:
+            yield f"{attempt.request_id} has another body"
+
+
+def leaving_get_nothing(journal: Journal, cold_rate: float) -> Iterator[str]:
+    """Nothing new reaches a replica four seconds after the list shows it as leaving."""
+    since = {leaving.replica_id: leaving.shown_at for leaving in journal.leaving}
+    for run in journal.runs:
+        shown_at = since.get(run.replica_id)
+        late = shown_at is not None and run.at > shown_at + LEAVING_S
+        if late and journal.is_calm(run.at, IN_TOUCH_S):
+            yield f"{run.request_id} ran at {run.replica_id}, {run.at - shown_at:.1f} s after"
+
+
+def emptied_get_nothing(journal: Journal, cold_rate: float) -> Iterator[str]:
+    """Nothing new reaches a zone five seconds after its emptying was acknowledged."""
+    for order in journal.orders:
+        if order.kind != "empty" or not order.taken_at:
+            continue
+        until = _restored_at(journal, order)
+        for run in journal.runs:
+            late = run.zone == order.zone and order.taken_at + EMPTIED_S < run.at < until
+            if late and journal.is_calm(run.at, IN_TOUCH_S):
+                yield f"{run.request_id} ran in {run.zone}, emptied"
+
+
+def _restored_at(journal: Journal, emptied: Order) -> float:
+    later = [
+        order.sent_at
+        for order in journal.orders
+        if order.kind == "restore" and order.zone == emptied.zone
+        if order.sent_at > emptied.sent_at
+    ]
+    return min(later, default=float("inf"))
+
+
+def cold_get_a_trickle(journal: Journal, cold_rate: float) -> Iterator[str]:
+    """In no second does a cold replica get more than it bears."""
+    bound = cold_rate * COLD_FACTOR + COLD_SLACK
+    by_replica: dict[str, list[Run]] = defaultdict(list)
+    for run in journal.runs:
+        if run.cold:
+            by_replica[run.replica_id].append(run)
+    for replica_id, runs in by_replica.items():
+        for first in runs:
+            count = sum(first.at <= run.at < first.at + 1.0 for run in runs)
+            if count > bound:
+                yield f"{replica_id} got {count} requests in a second while cold"
+                break
+
+
+def changes_are_in_force(journal: Journal, cold_rate: float) -> Iterator[str]:
+    """Three seconds after a change is acknowledged, its routes are known everywhere."""
+    known_since: dict[str, float] = {}
+    for order in sorted(journal.orders, key=lambda order: order.taken_at):
+        if order.kind == "change" and order.taken_at:
+            for route in json.loads(order.document)["routes"]:
+                known_since.setdefault(route["prefix"], order.taken_at)
+    for attempt in journal.attempts:
+        prefix = "/" + attempt.path.split("/")[1] + "/"
+        since = known_since.get(prefix)
+        late = since is not None and attempt.sent_at > since + IN_FORCE_S
+        if late and attempt.status == 404 and journal.is_calm(attempt.sent_at, IN_TOUCH_S):
+            yield f"{attempt.request_id} got 404 {attempt.sent_at - since:.1f} s after the change"
+
+
+def one_change_a_version(journal: Journal, cold_rate: float) -> Iterator[str]:
+    """Of two changes under one number at most one is acknowledged; no invalid one is."""
+    taken = defaultdict(list)
+    for order in journal.orders:
+        if order.kind == "change" and order.taken_at:
+            taken[order.version].append(order)
+            if b"nobody" in order.document:
+                yield f"version {order.version} is invalid and was acknowledged"
+    for version, orders in taken.items():
+        if len({order.document for order in orders}) > 1:
+            yield f"two changes were acknowledged as version {version}"
+
+
+def orders_are_acknowledged(journal: Journal, cold_rate: float) -> Iterator[str]:
+    """In calm times an order is answered in time; what was taken is never refused."""
+    for order in journal.orders:
+        answered = order.taken_at or (order.sent_at if order.refused else float("inf"))
+        end = order.sent_at + ACKNOWLEDGED_WITHIN_S
+        calm = journal.is_calm(end, ACKNOWLEDGED_WITHIN_S + IN_TOUCH_S)
+        if calm and answered > end:
+            yield f"{order.kind} {order.version}{order.zone} was not answered within 5 s"
+
+
+def newest_is_read_back(journal: Journal, cold_rate: float) -> Iterator[str]:
+    """At the end the newest acknowledged configuration is read, exactly as it was sent."""
+    changes = [order for order in journal.orders if order.kind == "change"]
+    newest = max((order.version for order in changes if order.taken_at), default=0)
+    if not newest:
+        return
+    if not journal.read_back:
+        yield "nothing could be read back"
+        return
+    version = json.loads(journal.read_back)["version"]
+    sent = [order.document for order in changes if order.version == version]
+    if version < newest or journal.read_back not in sent:
+        yield f"version {version} was read back, {newest} is acknowledged"
+
+
+def a_quarter_is_served_again(journal: Journal, cold_rate: float) -> Iterator[str]:
+    """Twelve seconds after the last disturbance at least a quarter is served."""
+    if not journal.disturbances:
+        return
+    since = max(disturbance.ended for disturbance in journal.disturbances) + RECOVERY_S
+    later = [attempt for attempt in journal.attempts if attempt.sent_at > since]
+    if later and sum(attempt.served for attempt in later) < QUARTER * len(later):
+        yield "less than a quarter is served again"
+
+
+ORACLES: dict[str, Oracle] = {
+    oracle.__name__: oracle
+    for oracle in (
+        runs_once,
+        asked_by_a_client,
+        promises_hold,
+        answers_are_whole,
+        leaving_get_nothing,
+        emptied_get_nothing,
+        cold_get_a_trickle,
+        changes_are_in_force,
+        one_change_a_version,
+        orders_are_acknowledged,
+        newest_is_read_back,
+        a_quarter_is_served_again,
+    )
+}
+
+
+def judge(journal: Journal, cold_rate: float) -> dict[str, list[str]]:
+    """Return what is broken, by oracle."""
+    found = {name: list(oracle(journal, cold_rate)) for name, oracle in ORACLES.items()}
+    return {name: broken for name, broken in found.items() if broken}
--- /dev/null
+++ b/rooklug_lab/gateway/replicas.py
@@ -0,0 +1,177 @@
+"""Stand-in replicas and the platform that lists them."""
+
+import json
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from rooklug.engine import effects as fx
+from rooklug.engine import events as ev
+from rooklug.engine.reducer import MetricSample, ProcessContext
+from rooklug_lab.gateway.dialect import NAMES
+from rooklug_lab.gateway.journal import Journal, Leaving, Run
+from rooklug_lab.sim.process import SimulatedProcess
+
+LIST_LAG_S = 0.8
+EVENTS = 12
+FIRST_EVENT_S = 0.15
+EVENT_S = 0.1
+ONCE_S = 0.03
+
+
+@attrs.define(eq=False)
+class ReplicaEntry:
+    """One replica as the platform knows it; ``cold_s``: how long a start leaves it cold."""
+
+    name: str
+    address: str
+    service: str
+    zone: str
+    region: str
+    slots: int
+    process: SimulatedProcess | None = None
+    cold_s: float = 0.0
+    leaving: bool = False
+    cold_until: float = 0.0
+
+    @property
+    def replica_id(self) -> str:
+        """The id of this start of the process."""
+        return f"{self.name}-{self.process.generation}"
+
+    def turn_cold(self, now: float) -> None:
+        """Begin a slow start."""
+        self.cold_until = now + self.cold_s
+
+
+class ReplicaStandIn:
+    """Runs a request a slot: a short answer, or a stream of numbered events."""
+
+    head_first_paths: tuple[str, ...] = ()
+
+    def __init__(self, entry: ReplicaEntry, context: ProcessContext, journal: Journal) -> None:
+        self._entry = entry
+        self._replica_id = context.incarnation
+        self._journal = journal
+        self._running: dict[str, tuple[int, int, str]] = {}
+
+    def metrics(self, now: float) -> Iterable[MetricSample]:
+        """Return no figures."""
+        return ()
+
+    def handle(self, event: ev.Event, now: float) -> list[fx.Effect]:
+        """Take a request, or go on with one."""
+        if isinstance(event, ev.HttpRequestArrived):
+            return self._arrived(event, now)
+        if isinstance(event, ev.HttpRequestClosed):
+            self._running = {k: v for k, v in self._running.items() if v[0] != event.request_id}
+        if isinstance(event, ev.TimerFired):
+            return self._go_on(event.name)
+        return []
+
+    def _arrived(self, event: ev.HttpRequestArrived, now: float) -> list[fx.Effect]:
+        request_id = event.headers[NAMES.request_id]
+        headers = {NAMES.request_id: request_id}
+        if event.headers.get(NAMES.expected_replica, self._replica_id) != self._replica_id:
+            return [fx.HttpRespond(event.request_id, 421, b"", headers)]
+        if len(self._running) >= self._entry.slots:
+            headers[NAMES.not_executed] = "1"
+            return [fx.HttpRespond(event.request_id, 503, b"", headers)]
+        cold = now < self._entry.cold_until
+        run = Run(request_id, self._replica_id, self._entry.zone, now, cold)
+        self._journal.runs.append(run)
+        is_stream = event.path.startswith("/s/")
+        after = int(event.headers.get(NAMES.resume_after, "0") or "0")
+        self._running[request_id] = (event.request_id, after, "stream" if is_stream else "once")
+        return [fx.StartTimer(request_id, FIRST_EVENT_S if is_stream else ONCE_S)]
+
+    def _go_on(self, request_id: str) -> list[fx.Effect]:
+        known = self._running.get(request_id)
+        if known is None:
+            return []
+        http_id, sent, kind = known
+        headers = {NAMES.request_id: request_id, NAMES.signature: self._replica_id}
+        if kind == "once":
+            del self._running[request_id]
+            body = f"{request_id}@{self._replica_id}".encode()
+            return [fx.HttpRespond(http_id, 200, body, headers)]
+        effects: list[fx.Effect] = []
+        if kind == "stream":
+            effects.append(fx.HttpStreamStart(http_id, 200, headers))
+        number = sent + 1
+        effects.append(fx.HttpStreamPiece(http_id, stream_event(request_id, number)))
+        if number == EVENTS:
+            del self._running[request_id]
+            return [*effects, fx.HttpStreamEnd(http_id)]
+        self._running[request_id] = (http_id, number, "started")
+        return [*effects, fx.StartTimer(request_id, EVENT_S)]
+
+
+def stream_event(request_id: str, number: int) -> bytes:
+    """Return one event of a request's stream."""
+    return f"id: {number}\ndata: {request_id}/{number}\n\n".encode()
+
+
+def whole_stream(request_id: str) -> bytes:
+    """Return all events of a request's stream."""
+    return b"".join(stream_event(request_id, number) for number in range(1, EVENTS + 1))
+
+
+class PlatformStandIn:
+    """Answers with the list as it was a moment ago; notes when it first shows a leaving one."""
+
+    head_first_paths: tuple[str, ...] = ()
+
+    def __init__(
+        self, entries: Callable[[], list[ReplicaEntry]], context: ProcessContext, journal: Journal
+    ) -> None:
+        self._entries = entries
+        self._journal = journal
+        self._history: list[tuple[float, list[dict]]] = []
+        self._shown: set[str] = set()
+        self.calls = 0
+
+    def metrics(self, now: float) -> Iterable[MetricSample]:
+        """Return no figures."""
+        return ()
+
+    def handle(self, event: ev.Event, now: float) -> list[fx.Effect]:
+        """Note the present, or answer a reader."""
+        if isinstance(event, ev.Started):
+            return self._note(now)
+        if isinstance(event, ev.TimerFired):
+            return self._note(now)
+        if isinstance(event, ev.HttpRequestArrived):
+            self.calls += 1
+            return [fx.HttpRespond(event.request_id, 200, self._answer(now))]
+        return []
+
+    def _note(self, now: float) -> list[fx.Effect]:
+        self._history.append((now, [_listed(entry, now) for entry in self._entries()]))
+        old = now - LIST_LAG_S
+        while len(self._history) > 1 and self._history[1][0] <= old:
+            self._history.pop(0)
+        for listed in self._history[0][1]:
+            if listed["leaving"] and listed["replica_id"] not in self._shown:
+                self._shown.add(listed["replica_id"])
+                self._journal.leaving.append(Leaving(listed["replica_id"], now))
+        return [fx.StartTimer("note", 0.1)]
+
+    def _answer(self, now: float) -> bytes:
+        return json.dumps({"replicas": self._history[0][1]}).encode()
+
+
+def _listed(entry: ReplicaEntry, now: float) -> dict:
+    return {
+        "replica_id": entry.replica_id,
+        "address": entry.address,
+        "kind": "gateway",
+        "backend": entry.service,
+        "region": entry.region,
+        "zone": entry.zone,
+        "resource": entry.service,
+        "resource_units": 1.0,
+        "leaving": entry.leaving,
+        "slots": entry.slots,
+        "cold_ms": int(max(entry.cold_until - now, 0.0) * 1000),
+    }
--- /dev/null
+++ b/rooklug_lab/gateway/scenarios.py
@@ -0,0 +1,149 @@
+"""The brief's five kinds of bad days, each brought about in a simulated run.
+
+A scenario is called once the site serves; it may use the site's seeded generator for its
+moments. Everything is over ``SETTLE_S`` before the run is judged.
+"""
+
+from collections.abc import Callable
+from random import Random
+
+import attrs
+
+from rooklug_lab.gateway.journal import Journal
+from rooklug_lab.gateway.oracles import judge
+from rooklug_lab.gateway.site import COLD_RATE_PER_S, ZONES, GatewaySite
+
+WARM_UP_S = 6.0
+TROUBLE_S = 16.0
+SETTLE_S = 14.0
+
+Scenario = Callable[[GatewaySite, Random], None]
+
+
+def calm(site: GatewaySite, random: Random) -> None:
+    """Nothing goes wrong; a change adds a route that clients use three seconds later."""
+    site.change(["late"])
+    site.world.scheduler.after(3.5, lambda: site.add_path("/late/1"))
+
+
+def replicas_fail(site: GatewaySite, random: Random) -> None:
+    """Replicas crash, go dark, leave one by one, come back cold; a zone is emptied."""
+    models = [entry for entry in site.replicas if entry.service == "model"]
+    random.shuffle(models)
+    crash, dark, leaving, second = models[:4]
+    _at(site, random, lambda: site.crash_replica(crash, 2.0))
+    _at(site, random, lambda: site.crash_replica(dark, 3.0, dark=True))
+    _at(site, random, lambda: site.drain(leaving))
+    _at(site, random, lambda: site.drain(second))
+    zone = random.choice(list(ZONES))
+    site.order_zone(zone, "empty")
+    site.world.scheduler.after(9.0, lambda: site.turn_cold(zone))
+    site.world.scheduler.after(9.1, lambda: site.order_zone(zone, "restore"))
+
+
+def control_is_killed(site: GatewaySite, random: Random) -> None:
+    """The primary dies right after an acknowledgement, with its disk; then all cores at once."""
+    site.change(["first"])
+    site.world.run_for(random.uniform(0.005, 0.3))
+    wiped = random.random() < 0.5
+    site.kill([site.primary()], 2.0, power=True, wipe=wiped)
+    site.world.scheduler.after(8.0, lambda: site.change(["second"]))
+    site.world.scheduler.after(8.0 + random.uniform(0.005, 0.3), lambda: _kill_all_cores(site))
+    leaving = random.choice(site.replicas)
+    site.world.scheduler.after(8.5, lambda: site.drain(leaving))
+
+
+def everything_is_killed(site: GatewaySite, random: Random) -> None:
+    """Every process ends at once, right after a change was sent."""
+    site.change(["first"])
+    site.world.run_for(random.uniform(0.0, 0.3))
+    power = random.random() < 0.5
+    site.kill([*site.cores, *site.fronts], 1.0, power=power)
+
+
+def machines_are_cut_off(site: GatewaySite, random: Random) -> None:
+    """Disks stall, clocks jump, the primary is cut off, then another core, one way."""
+    site.jump_clocks(random.choice([-20_000, 20_000]))
+    primary = site.primary()
+    site.cut([primary], random.uniform(3.0, 5.0))
+    site.world.scheduler.after(1.0, lambda: site.change(["first"]))
+    site.world.scheduler.after(1.2, lambda: site.order_zone("north-b", "empty"))
+    site.world.scheduler.after(6.0, lambda: site.order_zone("north-b", "restore"))
+    other = random.choice([core for core in site.cores if core != primary])
+    site.world.scheduler.after(9.5, lambda: site.stall_disk(other, 3.0))
+    site.world.scheduler.after(10.0, lambda: site.change(["second"]))
+    outbound = random.random() < 0.5
+    site.world.scheduler.after(
+        11.0, lambda: site.cut([random.choice(site.cores)], 3.0, outbound=outbound)
+    )
+
+
+def configurations_storm(site: GatewaySite, random: Random) -> None:
+    """Changes in quick succession, races, invalid ones, and many routes at once."""
+    for number in range(12):
+        delay_s = 0.4 * number
+        site.world.scheduler.after(delay_s, lambda n=number: site.change([f"storm{n}"]))
+        if number % 3 == 0:
+            site.world.scheduler.after(delay_s, site.rival)
+        if number % 4 == 0:
+            site.world.scheduler.after(delay_s + 0.2, site.invalid)
+    many = [f"many{number}" for number in range(300)]
+    site.world.scheduler.after(7.0, lambda: site.change(many))
+    site.world.scheduler.after(10.5, lambda: site.add_path("/many299/1"))
+    site.world.scheduler.after(10.5, lambda: site.add_path("/storm11/1"))
+
+
+def traffic_moves(site: GatewaySite, random: Random) -> None:
+    """A burst in one region while the other's replicas turn cold, then the other way round."""
+    site.set_rate("south", 3.0)
+    site.turn_cold("south-a")
+    site.world.scheduler.after(5.0, lambda: site.set_rate("south", 0.5))
+    site.world.scheduler.after(5.0, lambda: site.set_rate("north", 3.0))
+    site.world.scheduler.after(6.0, lambda: site.turn_cold("north-a"))
+    site.world.scheduler.after(6.2, lambda: site.turn_cold("north-b"))
+    site.world.scheduler.after(10.0, lambda: site.set_rate("north", 1.0))
+
+
+SCENARIOS: dict[str, Scenario] = {
+    scenario.__name__: scenario
+    for scenario in (
+        calm,
+        replicas_fail,
+        control_is_killed,
+        everything_is_killed,
+        machines_are_cut_off,
+        configurations_storm,
+        traffic_moves,
+    )
+}
+
+
+@attrs.frozen
+class GatewayRun:
+    """A finished run: what was seen, what is broken, and the share that was served."""
+
+    journal: Journal
+    broken: dict[str, list[str]]
+    served_share: float
+
+
+def run_gateway_scenario(name: str, seed: int) -> GatewayRun:
+    """Run one scenario under one seed, and judge it."""
+    site = GatewaySite(seed)
+    site.start()
+    site.world.run_for(WARM_UP_S)
+    SCENARIOS[name](site, Random(seed))
+    site.world.run_for(TROUBLE_S)
+    site.world.run_for(SETTLE_S)
+    site.read_back()
+    attempts = [a for a in site.journal.attempts if a.ended_at]
+    served = sum(attempt.served for attempt in attempts) / max(len(attempts), 1)
+    return GatewayRun(site.journal, judge(site.journal, COLD_RATE_PER_S), served)
+
+
+def _at(site: GatewaySite, random: Random, action: Callable[[], None]) -> None:
+    site.world.scheduler.after(random.uniform(0.5, TROUBLE_S / 2), action)
+
+
+def _kill_all_cores(site: GatewaySite) -> None:
+    site.kill(site.cores, 0.8)
--- /dev/null
+++ b/rooklug_lab/gateway/site.py
@@ -0,0 +1,314 @@
+"""A small gateway deployment in the simulated world, and the faults that may strike it."""
+
+import json
+from collections.abc import Callable, Iterable
+
+from rooklug.gateway.build import GatewayLimits, compose_gateway_core, compose_gateway_front
+from rooklug.model.settings import CoreSettings, NodeSettings
+from rooklug_lab.gateway.clients import HOST, ClientStandIn, OperatorStandIn
+from rooklug_lab.gateway.dialect import control_dialect, edge_dialect
+from rooklug_lab.gateway.journal import Disturbance, Journal, Order
+from rooklug_lab.gateway.replicas import PlatformStandIn, ReplicaEntry, ReplicaStandIn
+from rooklug_lab.sim.network import Place
+from rooklug_lab.sim.process import SimulatedProcess
+from rooklug_lab.sim.world import World
+
+ZONES = {"north-a": "north", "north-b": "north", "south-a": "south"}
+FRONTS_A_ZONE = 3
+MODEL_REPLICAS_A_ZONE = 2
+REGION_DELAY_S = 0.02
+COLD_RATE_PER_S = 6.0
+MODEL_COLD_S = 3.0
+LIST_ADDRESS = "10.200.0.1:80"
+CLIENT_RATE_PER_S = 12.0
+
+
+class GatewaySite:
+    """Three cores, nine fronts, replicas of two services, clients a region, an operator."""
+
+    def __init__(self, seed: int, limits: GatewayLimits | None = None) -> None:
+        self.world = World(seed, REGION_DELAY_S)
+        self.journal = Journal()
+        self.replicas: list[ReplicaEntry] = []
+        self.cores = [f"core-{zone}" for zone in ZONES]
+        self.fronts: list[str] = []
+        self._limits = limits or GatewayLimits()
+        self._first_start = True
+        self._version = 0
+        self._routes: list[str] = []
+        for number, (zone, region) in enumerate(ZONES.items(), start=1):
+            self._add_machines(number, zone, region)
+            self._add_replicas(number, zone, region)
+        self._add_stand_ins()
+
+    def start(self) -> None:
+        """Start everything, and bring the first configuration."""
+        for process in self.world.processes.values():
+            process.start()
+        self.world.run_for(0.6)
+        self._first_start = False
+        self.change(["s", "once"])
+
+    # Orders ---------------------------------------------------------------
+
+    def change(self, routes: Iterable[str] = (), version_step: int = 1) -> Order:
+        """Send a configuration with further routes, as a whole document."""
+        self._routes = sorted({*self._routes, *routes})
+        base, self._version = self._version, self._version + version_step
+        order = Order("change", self._version, document=_document(self._version, self._routes))
+        self._operate(lambda operator, now: operator.change(order, base, False, now))
+        return order
+
+    def rival(self) -> Order:
+        """Send another change under the number and on the base of the newest one."""
+        document = _document(self._version, [*self._routes, "rival"])
+        order = Order("change", self._version, document=document)
+        base = self._version - 1
+        self._operate(lambda operator, now: operator.change(order, base, False, now))
+        return order
+
+    def invalid(self) -> Order:
+        """Send a change that names an unknown service."""
+        document = json.loads(_document(self._version + 1, self._routes))
+        document["routes"][0]["service"] = "nobody"
+        order = Order("change", self._version + 1, document=json.dumps(document).encode())
+        self._operate(lambda operator, now: operator.change(order, self._version, False, now))
+        return order
+
+    def order_zone(self, zone: str, kind: str) -> Order:
+        """Send "empty" or "restore"."""
+        order = Order(kind, zone=zone)
+        self._operate(lambda operator, now: operator.zone(order, now))
+        return order
+
+    def read_back(self) -> None:
+        """Let the operator read the configuration."""
+        self._operate(lambda operator, now: operator.read())
+        self.world.run_for(6.0)
+
+    # Faults ---------------------------------------------------------------
+
+    def primary(self) -> str:
+        """Return the core that serves as the primary, or the first."""
+
+        def serves(name: str) -> bool:
+            process = self.process(name)
+            samples = process.reducer.metrics(process.local_now()) if process.running else ()
+            return any(sample.name == "core_primary" and sample.value for sample in samples)
+
+        return next((name for name in self.cores if serves(name)), self.cores[0])
+
+    def process(self, name: str) -> SimulatedProcess:
+        """Return a process by name."""
+        return self.world.processes[name]
+
+    def kill(self, names: Iterable[str], for_s: float, power: bool = False, wipe: bool = False):
+        """Kill processes; they come back after ``for_s``, with ``wipe`` on empty disks."""
+        names = list(names)
+        for name in names:
+            process = self.process(name)
+            (self.world.machine_fails if power else self.world.kill)(process)
+            if wipe and process.disk is not None:
+                process.disk.lose()
+        self._disturb("kill", for_s)
+        self._later(for_s, lambda: [self._restart(name) for name in names])
+
+    def crash_replica(self, entry: ReplicaEntry, for_s: float, dark: bool = False) -> None:
+        """End a replica; it comes back cold under a new id."""
+        (self.world.machine_fails if dark else self.world.kill)(entry.process)
+        self._later(for_s, lambda: self._restart_replica(entry))
+
+    def drain(self, entry: ReplicaEntry, after_s: float = 6.0, for_s: float = 1.0) -> None:
+        """Announce that a replica leaves, then end it."""
+        entry.leaving = True
+        self._later(after_s, lambda: self.crash_replica(entry, for_s))
+
+    def turn_cold(self, zone: str) -> None:
+        """Let the replicas of a zone turn cold without a restart."""
+        for entry in self.replicas:
+            if entry.zone == zone:
+                entry.turn_cold(self.world.now)
+
+    def cut(self, names: Iterable[str], for_s: float, outbound: bool = True) -> None:
+        """Cut the machines of processes off from everything else, or only what reaches them."""
+        inside = [self.process(name).place for name in names]
+        ips = {place.ip for place in inside}
+        outside = [p.place for p in self.world.processes.values() if p.place.ip not in ips]
+        network = self.world.network
+        network.cut(outside, inside)
+        self._later(for_s, lambda: network.heal(outside, inside))
+        if outbound:
+            network.cut(inside, outside)
+            self._later(for_s, lambda: network.heal(inside, outside))
+        self._disturb("cut", for_s)
+
+    def stall_disk(self, name: str, for_s: float) -> None:
+        """Let no write of a disk finish for a while."""
+        self.process(name).disk.stalled_until = self.world.now + for_s
+        self._disturb("stall", for_s)
+
+    def jump_clocks(self, by_ms: int) -> None:
+        """Let the time of day jump on every machine."""
+        for process in self.world.processes.values():
+            process.wall_offset_ms += by_ms
+
+    def set_rate(self, region: str, factor: float) -> None:
+        """Multiply the traffic of a region."""
+        self.process(f"client-{region}").reducer.rate_per_s = CLIENT_RATE_PER_S * factor
+
+    def add_path(self, path: str) -> None:
+        """Let clients use a further route."""
+        for region in sorted(set(ZONES.values())):
+            self.process(f"client-{region}").reducer.paths.append(path)
+
+    # Inside ---------------------------------------------------------------
+
+    def _later(self, delay_s: float, action: Callable[[], object]) -> None:
+        self.world.scheduler.after(delay_s, action)
+
+    def _disturb(self, kind: str, for_s: float) -> None:
+        now = self.world.now
+        self.journal.disturbances.append(Disturbance(kind, now, now + for_s))
+
+    def _restart(self, name: str) -> None:
+        self.world.restart(self.process(name))
+
+    def _restart_replica(self, entry: ReplicaEntry) -> None:
+        entry.leaving = False
+        entry.turn_cold(self.world.now)
+        self.world.restart(entry.process)
+
+    def _operate(self, action: Callable[[OperatorStandIn, float], list]) -> None:
+        self.process("operator").act(action)
+
+    def _add_machines(self, number: int, zone: str, region: str) -> None:
+        core_ips = [f"10.{n}.0.1" for n in range(1, len(ZONES) + 1)]
+        seeds = tuple(f"{ip}:7000" for ip in core_ips)
+        members = dict(zip(self.cores, seeds, strict=True))
+        core = _node(f"core-{zone}", "core", zone, region, f"10.{number}.0.1", "8002", seeds)
+
+        def build_core(context):
+            settings = CoreSettings(core, members, self._first_start)
+            return compose_gateway_core(settings, context, control_dialect())
+
+        place = Place(core.bind_ip, zone, region)
+        self.world.add(
+            core.node_id, place, build_core, core.http_address, core.internal_address, True
+        )
+        self.world.http.listeners[core.http_address] = "operators"
+        for machine in range(1, FRONTS_A_ZONE + 1):
+            ip = f"10.{number}.0.{machine}"
+            self._add_front(f"front-{zone}-{machine}", ip, zone, region, seeds)
+
+    def _add_front(
+        self, name: str, ip: str, zone: str, region: str, seeds: tuple[str, ...]
+    ) -> None:
+        node = _node(name, "front", zone, region, ip, "8000", seeds)
+
+        def build(context):
+            return compose_gateway_front(node, context, edge_dialect(), self._limits)
+
+        http = self.world.http
+        process = self.world.add(
+            name, Place(ip, zone, region), build, node.http_address, node.internal_address
+        )
+        http.listeners[node.http_address] = "clients"
+        http.by_address[f"{ip}:8001"] = process
+        http.listeners[f"{ip}:8001"] = "directory"
+        self.fronts.append(name)
+
+    def _add_replicas(self, number: int, zone: str, region: str) -> None:
+        for place in range(1, MODEL_REPLICAS_A_ZONE + 1):
+            self._add_replica(f"model-{zone}-{place}", f"10.{number}.9.{place}", "model", zone, 40)
+        self._add_replica(f"ledger-{zone}", f"10.{number}.8.1", "ledger", zone, 6)
+
+    def _add_replica(self, name: str, ip: str, service: str, zone: str, slots: int) -> None:
+        cold_s = MODEL_COLD_S if service == "model" else 0.0
+        entry = ReplicaEntry(name, f"{ip}:80", service, zone, ZONES[zone], slots, cold_s=cold_s)
+        entry.process = self._add_stand_in(
+            name, entry.address, zone, lambda context: ReplicaStandIn(entry, context, self.journal)
+        )
+        self.replicas.append(entry)
+
+    def _add_stand_ins(self) -> None:
+        self._add_stand_in(
+            "platform",
+            LIST_ADDRESS,
+            "north-a",
+            lambda context: PlatformStandIn(lambda: self.replicas, context, self.journal),
+        )
+        directories = [f"{self.process(name).place.ip}:8001" for name in self.fronts]
+        for number, region in enumerate(sorted(set(ZONES.values())), start=1):
+            zone = next(zone for zone, place in ZONES.items() if place == region)
+            near = [a for a in directories if self._region_of(a) == region]
+            self._add_stand_in(
+                f"client-{region}",
+                f"10.100.0.{number}:80",
+                zone,
+                lambda context, r=region, z=zone, d=near: ClientStandIn(
+                    r, z, d, CLIENT_RATE_PER_S, context, self.journal
+                ),
+            )
+        cores = [f"10.{n}.0.1:8002" for n in range(1, len(ZONES) + 1)]
+        self._add_stand_in(
+            "operator",
+            "10.100.0.9:80",
+            "north-a",
+            lambda context: OperatorStandIn(cores, context, self.journal),
+        )
+
+    def _region_of(self, address: str) -> str:
+        return list(ZONES.values())[int(address.split(".")[1]) - 1]
+
+    def _add_stand_in(self, name: str, address: str, zone: str, build) -> SimulatedProcess:
+        place = Place(address.split(":")[0], zone, ZONES[zone])
+        return self.world.add(name, place, build, address, true_clock=True)
+
+
+def _node(
+    name: str, role: str, zone: str, region: str, ip: str, port: str, seeds: tuple[str, ...]
+) -> NodeSettings:
+    internal = f"{ip}:7000" if role == "core" else f"{ip}:7001"
+    http = f"{ip}:{port}"
+    return NodeSettings(
+        node_id=name,
+        role=role,
+        zone=zone,
+        region=region,
+        listen_internal=internal,
+        listen_http=http,
+        internal_address=internal,
+        http_address=http,
+        seeds=seeds,
+        bind_ip=ip,
+        platform_address=LIST_ADDRESS,
+    )
+
+
+def _document(version: int, routes: list[str]) -> bytes:
+    items = [
+        {
+            "name": name,
+            "host": HOST,
+            "prefix": f"/{name}/",
+            "execution": "event_stream" if name == "s" else "at_most_once",
+            "timeout_ms": 4000,
+            "latency_objective_ms": 800,
+            "priority": 1,
+            "service": "model" if name == "s" else "ledger",
+            "max_replicas": 1,
+            "affinity": name == "s",
+        }
+        for name in routes
+    ]
+    services = [
+        {
+            "name": "model",
+            "health_path": "/health",
+            "max_connections": 100,
+            "cold_requests_per_s": COLD_RATE_PER_S,
+            "engine": {"slots": 40, "key_value_tokens": 200000},
+        },
+        {"name": "ledger", "health_path": "/health", "max_connections": 100},
+    ]
+    return json.dumps({"version": version, "routes": items, "services": services}).encode()
--- a/rooklug_lab/sim/exchanges.py
+++ b/rooklug_lab/sim/exchanges.py
@@ -49,6 +49,7 @@
         self._by_request: dict[int, Exchange] = {}
         self._by_call: dict[tuple[str, int, int], Exchange] = {}
         self.by_address: dict[str, SimulatedProcess] = {}
+        self.listeners: dict[str, str] = {}  # names of addresses that have one
         self.watch: Callable[[SimulatedProcess, fx.HttpCall], None] = lambda client, effect: None
 
     def call(self, client: SimulatedProcess, effect: fx.HttpCall) -> None:
@@ -149,6 +150,8 @@
             body=b"" if withheld else effect.body,
             body_withheld=withheld,
             remote_address=exchange.client.place.ip,
+            target=effect.path,
+            listener=self.listeners.get(effect.address, ""),
         )
 
     def _schedule_deadlines(self, exchange: Exchange) -> None:
--- /dev/null
+++ b/tests/test_gateway_site.py
@@ -0,0 +1,161 @@
+"""The whole gateway deployment in virtual time: the brief's five kinds of bad days."""
+
+import json
+import unittest
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+from rooklug.core.ledger import Judgement, Ledger, Verdict
+from rooklug.engine import effects as fx
+from rooklug.gateway.cold_gate import ColdGate
+from rooklug.gateway.executor import GatewayExecutor
+from rooklug.gateway.passage import Passage
+from rooklug.gateway.view import GatewayView
+from rooklug.gateway.view_keeper import GatewayViewKeeper
+from rooklug_lab.gateway.journal import Attempt, Disturbance, Journal, Order, Run
+from rooklug_lab.gateway.oracles import ORACLES, judge
+from rooklug_lab.gateway.scenarios import SCENARIOS, run_gateway_scenario
+
+SEEDS = (1, 2)
+LEAST_SERVED = 0.85
+
+
+class BadDays(unittest.TestCase):
+    def check(self, name: str) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                run = run_gateway_scenario(name, seed)
+                self.assertEqual(run.broken, {})
+                self.assertGreater(run.served_share, LEAST_SERVED)
+
+    def test_calm(self) -> None:
+        self.check("calm")
+
+    def test_replicas_fail(self) -> None:
+        self.check("replicas_fail")
+
+    def test_control_is_killed(self) -> None:
+        self.check("control_is_killed")
+
+    def test_everything_is_killed(self) -> None:
+        self.check("everything_is_killed")
+
+    def test_machines_are_cut_off(self) -> None:
+        self.check("machines_are_cut_off")
+
+    def test_configurations_storm(self) -> None:
+        self.check("configurations_storm")
+
+    def test_traffic_moves(self) -> None:
+        self.check("traffic_moves")
+
+    def test_every_scenario_has_a_test(self) -> None:
+        tests = {name.removeprefix("test_") for name in dir(self) if name.startswith("test_")}
+        self.assertLessEqual(set(SCENARIOS), tests)
+
+    def test_a_seed_repeats_to_the_byte(self) -> None:
+        first, second = (run_gateway_scenario("replicas_fail", 3).journal for _ in range(2))
+        self.assertEqual(repr(first), repr(second))
+
+
+def _every_replica(view: GatewayView, service: str, homes: tuple[str, ...]) -> list[Any]:
+    return list(view.replicas.get(service, ()))
+
+
+def _end_as_if_whole(executor: GatewayExecutor, passage: Passage) -> list[fx.Effect]:
+    executor._forget(passage)
+    return [fx.HttpStreamEnd(passage.request.http_id)]
+
+
+def _first_only(keeper: GatewayViewKeeper, body: Any, now: float) -> list[fx.Effect]:
+    if keeper.view.configuration is not None:
+        return []
+    return TAKE_CONFIGURATION(keeper, body, now)
+
+
+def _always_fresh(*_: Any) -> Judgement:
+    return Judgement(Verdict.FRESH)
+
+
+TAKE_CONFIGURATION = GatewayViewKeeper._take_configuration
+
+
+class Guards(unittest.TestCase):
+    """A guard that is switched off is noticed by its oracle."""
+
+    def caught(self, oracle: str, scenario: str, owner: Any, name: str, replacement: Any) -> None:
+        for seed in range(1, 7):
+            with mock.patch.object(owner, name, replacement):
+                if oracle in run_gateway_scenario(scenario, seed).broken:
+                    return
+        self.fail(f"{oracle} noticed nothing")
+
+    def test_a_request_that_may_have_run_is_not_sent_again(self) -> None:
+        always = lambda passage: True  # noqa: E731
+        self.caught("runs_once", "replicas_fail", Passage, "may_send_again", always)
+
+    def test_a_promise_is_given_only_without_a_run(self) -> None:
+        never_ran = property(lambda passage: False, lambda passage, value: None)
+        self.caught("promises_hold", "replicas_fail", Passage, "may_have_run", never_ran)
+
+    def test_a_broken_stream_is_cut_visibly(self) -> None:
+        replaced = (GatewayExecutor, "_break_off", _end_as_if_whole)
+        self.caught("answers_are_whole", "replicas_fail", *replaced)
+
+    def test_leaving_replicas_are_left_out(self) -> None:
+        self.caught("leaving_get_nothing", "replicas_fail", GatewayView, "usable", _every_replica)
+
+    def test_emptied_zones_are_left_out(self) -> None:
+        self.caught("emptied_get_nothing", "replicas_fail", GatewayView, "usable", _every_replica)
+
+    def test_cold_replicas_are_spared(self) -> None:
+        always = lambda *_: True  # noqa: E731
+        self.caught("cold_get_a_trickle", "traffic_moves", ColdGate, "may_send", always)
+
+    def test_changes_are_followed(self) -> None:
+        replaced = (GatewayViewKeeper, "_take_configuration", _first_only)
+        self.caught("changes_are_in_force", "calm", *replaced)
+
+    def test_a_number_is_taken_once(self) -> None:
+        replaced = (Ledger, "judge_change", _always_fresh)
+        self.caught("one_change_a_version", "configurations_storm", *replaced)
+
+
+class Doctored(unittest.TestCase):
+    """Oracles without a guard of their own here, on journals that were written for them."""
+
+    def broken(self, **fields: Any) -> set[str]:
+        return set(judge(Journal(**fields), 6.0))
+
+    def attempt(self, sent_at: float, status: int = 200) -> Attempt:
+        return Attempt("a", "north", "/once/1", False, sent_at, status, complete=True, ended_at=1.0)
+
+    def test_nobody_asked(self) -> None:
+        run = Run("a", "r-1", "north-a", 1.0, False)
+        self.assertIn("asked_by_a_client", self.broken(runs=[run]))
+
+    def test_a_lost_change(self) -> None:
+        old, new = (
+            Order("change", v, document=json.dumps({"version": v}).encode(), taken_at=1.0 + v)
+            for v in (1, 2)
+        )
+        old.document = new.document = b'{"version": 1, "routes": []}'
+        found = self.broken(orders=[old, new], read_back=old.document)
+        self.assertIn("newest_is_read_back", found)
+        self.assertIn("newest_is_read_back", self.broken(orders=[old, new]))
+
+    def test_an_order_without_an_answer(self) -> None:
+        order = Order("empty", zone="north-a", sent_at=1.0)
+        self.assertIn("orders_are_acknowledged", self.broken(orders=[order]))
+
+    def test_no_recovery(self) -> None:
+        fault = Disturbance("kill", 1.0, 2.0)
+        attempts = [self.attempt(20.0, 503)]
+        found = self.broken(disturbances=[fault], attempts=attempts)
+        self.assertIn("a_quarter_is_served_again", found)
+
+    def test_every_oracle_is_shown_to_fail(self) -> None:
+        text = "".join(Path(__file__).read_text().split())
+        for name in ORACLES:
+            self.assertIn(f'"{name}"', text)
