--- a/rooklug_lab/cli.py
+++ b/rooklug_lab/cli.py
@@ -4,6 +4,7 @@
 import sys
 
 from rooklug_lab.deployment_plans import PLANS
+from rooklug_lab.gateway.command import add_gateway_command
 from rooklug_lab.hollow.command import add_hollow_commands
 from rooklug_lab.lag import add_lag_command
 
@@ -14,6 +15,7 @@
   rooklug-lab load --rate 100 --seconds 10
   rooklug-lab lag --routes 500 --changes 20
   rooklug-lab sim all --seeds 1-5
+  rooklug-lab gateway all --seeds 1-5
 """
 
 
@@ -35,6 +37,7 @@
     _add_standin(commands)
     add_hollow_commands(commands)
     add_lag_command(commands)
+    add_gateway_command(commands)
     commands.add_parser("sim", help="the simulator (rooklug-lab sim --help)")
     return parser
 
--- a/tests/test_gateway_site.py
+++ b/tests/test_gateway_site.py
@@ -1,5 +1,7 @@
 """The whole gateway deployment in virtual time: the brief's five kinds of bad days."""
 
+import contextlib
+import io
 import json
 import unittest
 from pathlib import Path
@@ -13,6 +15,7 @@
 from rooklug.gateway.passage import Passage
 from rooklug.gateway.view import GatewayView
 from rooklug.gateway.view_keeper import GatewayViewKeeper
+from rooklug_lab.cli import build_parser
 from rooklug_lab.gateway.journal import Attempt, Disturbance, Journal, Order, Run
 from rooklug_lab.gateway.oracles import ORACLES, judge
 from rooklug_lab.gateway.scenarios import SCENARIOS, run_gateway_scenario
@@ -159,3 +162,15 @@
         text = "".join(Path(__file__).read_text().split())
         for name in ORACLES:
             self.assertIn(f'"{name}"', text)
+
+
+class CommandLine(unittest.TestCase):
+    def test_a_run_is_made_and_an_unknown_one_refused(self) -> None:
+        parser = build_parser()
+        with contextlib.redirect_stdout(io.StringIO()) as out:
+            options = parser.parse_args(["gateway", "calm", "--seeds", "5", "--workers", "1"])
+            self.assertEqual(options.run(options), 0)
+        self.assertIn("1 of 1 runs passed", out.getvalue())
+        with contextlib.redirect_stderr(io.StringIO()):
+            options = parser.parse_args(["gateway", "nothing"])
+            self.assertEqual(options.run(options), 2)
