--- a/rooklug/gateway/view_keeper.py
+++ b/rooklug/gateway/view_keeper.py
@@ -19,6 +19,10 @@
     ZonesBody,
 )
 
+RESTORED_COLD_S = 2.5
+"""Replicas of a zone that is taken back may have turned cold a moment before; the list tells so
+only after its lag, one reading and the way to the fronts. Until then they count as cold."""
+
 
 class GatewayViewKeeper(PartDefaults):
     """Holds the newest view and tells the other parts of each change."""
@@ -28,6 +32,8 @@
 
     def __init__(self) -> None:
         self.view = GatewayView()
+        self._listed_cold_until: dict[str, float] = {}
+        self._restored_until: dict[str, float] = {}
         self._takers = {
             CONFIGURATION: self._take_configuration,
             ZONES: self._take_zones,
@@ -52,7 +58,14 @@
         return [fx.Log("debug", "serves under a configuration", {"version": body.version})]
 
     def _take_zones(self, body: ZonesBody, now: float) -> list[fx.Effect]:
-        self.view = attrs.evolve(self.view, emptied_zones=frozenset(body.emptied_zones))
+        emptied = frozenset(body.emptied_zones)
+        for zone in self.view.emptied_zones - emptied:
+            self._restored_until[zone] = now + RESTORED_COLD_S
+        replicas = {
+            service: tuple(self._with_cold(replica, now) for replica in found)
+            for service, found in self.view.replicas.items()
+        }
+        self.view = attrs.evolve(self.view, emptied_zones=emptied, replicas=replicas)
         return []
 
     def _take_members(self, body: MembersBody, now: float) -> list[fx.Effect]:
@@ -62,29 +75,35 @@
         return []
 
     def _take_replicas(self, body: ReplicasBody, now: float) -> list[fx.Effect]:
-        cold_until = {
-            replica.replica_id: replica.cold_until
-            for replicas in self.view.replicas.values()
-            for replica in replicas
-        }
+        self._note_cold(body.replicas, now)
         by_service: dict[str, list[GatewayReplica]] = {}
         for listed in body.replicas:
-            replica = _replica(listed, cold_until.get(listed.replica_id, 0.0), now)
+            replica = self._with_cold(_replica(listed), now)
             by_service.setdefault(listed.backend, []).append(replica)
         replicas = {service: tuple(found) for service, found in by_service.items()}
         self.view = attrs.evolve(self.view, replicas=replicas, is_listed=True)
         return []
 
+    def _note_cold(self, listed: list[ListedReplica], now: float) -> None:
+        """Note until when each replica is cold; a repeated entry doesn't prolong it."""
+        held, self._listed_cold_until = self._listed_cold_until, {}
+        for replica in listed:
+            if replica.cold_ms:
+                until = held.get(replica.replica_id, 0.0)
+                fresh = now + replica.cold_ms / 1000
+                self._listed_cold_until[replica.replica_id] = until if until > now else fresh
+
+    def _with_cold(self, replica: GatewayReplica, now: float) -> GatewayReplica:
+        listed = self._listed_cold_until.get(replica.replica_id, 0.0)
+        restored = self._restored_until.get(replica.zone, 0.0)
+        return attrs.evolve(replica, cold_until=max(listed, restored))
+
     def _take_plan(self, body: PlanBody, now: float) -> list[fx.Effect]:
         self.view = attrs.evolve(self.view, matrix=matrix_of(body.matrix))
         return []
 
 
-def _replica(listed: ListedReplica, held_cold_until: float, now: float) -> GatewayReplica:
-    cold_until = 0.0
-    if listed.cold_ms:
-        # An unchanged entry in a newer list must not prolong the slow start.
-        cold_until = held_cold_until if held_cold_until > now else now + listed.cold_ms / 1000
+def _replica(listed: ListedReplica) -> GatewayReplica:
     return GatewayReplica(
         replica_id=listed.replica_id,
         address=listed.address,
@@ -93,5 +112,4 @@
         zone=listed.zone,
         slots=listed.slots or 1,
         leaving=listed.leaving,
-        cold_until=cold_until,
     )
--- a/rooklug_lab/gateway/scenarios.py
+++ b/rooklug_lab/gateway/scenarios.py
@@ -104,6 +104,17 @@
     site.world.scheduler.after(10.0, lambda: site.set_rate("north", 1.0))
 
 
+def zone_returns_cold(site: GatewaySite, random: Random) -> None:
+    """A zone is taken back in a burst, a moment after its replicas have turned cold."""
+    zone = "south-a"
+    site.order_zone(zone, "empty")
+    site.world.scheduler.after(5.0, lambda: site.set_rate("south", 4.0))
+    moment_s = random.uniform(7.0, 9.0)
+    site.world.scheduler.after(moment_s, lambda: site.turn_cold(zone))
+    site.world.scheduler.after(moment_s + 0.05, lambda: site.order_zone(zone, "restore"))
+    site.world.scheduler.after(14.0, lambda: site.set_rate("south", 1.0))
+
+
 SCENARIOS: dict[str, Scenario] = {
     scenario.__name__: scenario
     for scenario in (
@@ -114,6 +125,7 @@
         machines_are_cut_off,
         configurations_storm,
         traffic_moves,
+        zone_returns_cold,
     )
 }
 
--- a/tests/test_gateway_site.py
+++ b/tests/test_gateway_site.py
@@ -10,6 +10,7 @@
 
 from rooklug.core.ledger import Judgement, Ledger, Verdict
 from rooklug.engine import effects as fx
+from rooklug.gateway import view_keeper
 from rooklug.gateway.cold_gate import ColdGate
 from rooklug.gateway.executor import GatewayExecutor
 from rooklug.gateway.passage import Passage
@@ -53,6 +54,12 @@
     def test_traffic_moves(self) -> None:
         self.check("traffic_moves")
 
+    def test_zone_returns_cold(self) -> None:
+        self.check("zone_returns_cold")
+
+    def test_a_replica_that_turns_cold_unseen_gets_a_trickle_too(self) -> None:
+        self.assertEqual(run_gateway_scenario("traffic_moves", 20).broken, {})
+
     def test_every_scenario_has_a_test(self) -> None:
         tests = {name.removeprefix("test_") for name in dir(self) if name.startswith("test_")}
         self.assertLessEqual(set(SCENARIOS), tests)
@@ -116,6 +123,10 @@
         always = lambda *_: True  # noqa: E731
         self.caught("cold_get_a_trickle", "traffic_moves", ColdGate, "may_send", always)
 
+    def test_a_zone_that_is_taken_back_counts_as_cold(self) -> None:
+        replaced = (view_keeper, "RESTORED_COLD_S", 0.0)
+        self.caught("cold_get_a_trickle", "zone_returns_cold", *replaced)
+
     def test_changes_are_followed(self) -> None:
         replaced = (GatewayViewKeeper, "_take_configuration", _first_only)
         self.caught("changes_are_in_force", "calm", *replaced)
