Warm replicas of a service with a cold rate are paced

Cause: a replica that turns cold without a restart is known to be cold only when the list says so, up to 2 s later; until then only the cost of replicas limited what fronts sent to it. Ruled out: the gate for known cold replicas (it holds its rate), a quicker list (the bound counts from the first moment). Change: ReplicaPace gives each serving front a part of the bound (cold rate times overshoot, and slack, both read from the settings); beyond it other replicas and regions come first, beyond a limit nothing goes. Which fronts serve is now in serving_fronts, used by the directory too. Tests: two guards' tests switch the pace off as well, since it alone keeps the bound in their scenarios; a new one switches off only the pace.

--- a/rooklug/gateway/build.py
+++ b/rooklug/gateway/build.py
@@ -5,6 +5,7 @@
 from rooklug.engine.composite import CompositeReducer
 from rooklug.engine.reducer import ProcessContext
 from rooklug.gateway.dialect import ControlDialect, EdgeDialect
+from rooklug.gateway.replica_pace import ColdBound
 from rooklug.gateway.retry_budget import RetryBudgetSettings
 from rooklug.model.settings import CoreSettings, NodeSettings
 
@@ -15,7 +16,7 @@
 
     grace_s: float = 8.0
     directory_ttl_s: float = 2.0
-    cold_burst_slack: int = 5
+    cold_bound: ColdBound = attrs.field(factory=ColdBound)
     retry_budget: RetryBudgetSettings = attrs.field(factory=RetryBudgetSettings)
 
 
@@ -30,12 +31,14 @@
     from rooklug.gateway.directory import Directory
     from rooklug.gateway.executor import GatewayExecutor
     from rooklug.gateway.lifecycle import Lifecycle
+    from rooklug.gateway.replica_pace import ReplicaPace
     from rooklug.gateway.view_keeper import GatewayViewKeeper
 
     core_link = CoreLink(settings, context)
     keeper = GatewayViewKeeper()
-    gate = ColdGate(settings.node_id, limits.cold_burst_slack)
-    decision = Decision(settings.region, settings.zone, context.random, gate)
+    gate = ColdGate(settings.node_id, int(limits.cold_bound.slack))
+    pace = ReplicaPace(limits.cold_bound)
+    decision = Decision(settings.region, settings.zone, context.random, gate, pace)
     executor = GatewayExecutor(
         decision, dialect.headers, context.identifiers, limits.retry_budget, limits.grace_s
     )
--- a/rooklug/gateway/decision.py
+++ b/rooklug/gateway/decision.py
@@ -11,6 +11,7 @@
 from rooklug.gateway.prefix_table import PrefixTable
 from rooklug.gateway.read_rate import ReadRate
 from rooklug.gateway.replica_load import ReplicaLoad
+from rooklug.gateway.replica_pace import ReplicaPace, Room
 from rooklug.gateway.requests import PassedRequest
 from rooklug.gateway.view import GatewayReplica, GatewayView
 
@@ -54,6 +55,7 @@
     zone: str
     random: Random
     cold_gate: ColdGate
+    pace: ReplicaPace = attrs.field(factory=ReplicaPace)
     view: GatewayView = attrs.field(factory=GatewayView)
     loads: dict[str, ReplicaLoad] = attrs.field(factory=dict)
     prefixes: PrefixTable = attrs.field(factory=PrefixTable)
@@ -93,7 +95,9 @@
         if not open_ones and not healthy:
             open_ones = [replica for replica in usable if self._may_send(replica, service, now)]
         if not open_ones:
-            return Refuse("replicas are cold", RETRY_AFTER_COLD_S)
+            return Refuse("replicas are cold or at their pace", RETRY_AFTER_COLD_S)
+        free = [r for r in open_ones if self._room(r, service, now) is Room.FREE]
+        open_ones = free or open_ones
         for level in self._region_levels(request, route, service):
             candidates = [replica for replica in open_ones if replica.region in level]
             if candidates:
@@ -118,6 +122,8 @@
         if service.engine is not None:
             memory = service.engine.key_value_tokens
             self.prefixes.used(replica.replica_id, request.parts, memory, now)
+        if service.cold_rate_per_s > 0:
+            self.pace.sent(replica.replica_id, now)
         if replica.is_cold(now):
             self.cold_gate.sent(replica.replica_id, service.cold_rate_per_s, self._front_ids(), now)
 
@@ -146,6 +152,7 @@
             key: load for key, load in self.loads.items() if key in listed or load.running
         }
         self.cold_gate.forget_except(listed)
+        self.pace.forget_except(listed)
         self.prefixes.forget_except(listed)
 
     def _region_levels(
@@ -203,11 +210,16 @@
         return min(candidates, key=cost)
 
     def _may_send(self, replica: GatewayReplica, service: Service, now: float) -> bool:
+        rate_per_s = service.cold_rate_per_s
+        if self._room(replica, service, now) is Room.NONE:
+            return False
         if not replica.is_cold(now):
             return True
-        return self.cold_gate.may_send(
-            replica.replica_id, service.cold_rate_per_s, self._front_ids(), now
-        )
+        return self.cold_gate.may_send(replica.replica_id, rate_per_s, self._front_ids(), now)
+
+    def _room(self, replica: GatewayReplica, service: Service, now: float) -> Room:
+        rate_per_s = service.cold_rate_per_s
+        return self.pace.room(replica, rate_per_s, self.region, self.view, now)
 
     def is_silent(self, replica: GatewayReplica, now: float) -> bool:
         """Tell whether a replica owes answers and says nothing at all."""
--- a/rooklug/gateway/directory.py
+++ b/rooklug/gateway/directory.py
@@ -1,23 +1,19 @@
 """Tells clients which fronts to connect to, and the platform whether this front is ready."""
 
 import json
-import math
 
 from rooklug.engine import effects as fx
 from rooklug.engine import events as ev
 from rooklug.engine.composite import PartDefaults
 from rooklug.gateway.dialect import EdgeDialect, WhereQuestion
 from rooklug.gateway.lifecycle import Lifecycle
+from rooklug.gateway.serving_fronts import serving_fronts
 from rooklug.gateway.view_keeper import GatewayViewKeeper
 from rooklug.wire.generated.control.ttypes import NodeRecord
 
 DIRECTORY_LISTENER = "directory"
 READINESS_LISTENER = "readiness"
 MAX_ADDRESSES = 64
-LEAST_FRONTS = 2
-FRONTS_SHARE = 1 / 4
-"""Part of a region's fronts that its clients are sent to: fewer fronts know more of the load of
-each replica and of what it holds, and keep fewer connections; the rest stand by."""
 _JSON = {"content-type": "application/json"}
 
 
@@ -85,27 +81,4 @@
     """Return the fronts that take the traffic of the nearest allowed region."""
     allowed = [node for node in fronts if not homes or node.region in homes] or fronts
     in_region = [node for node in allowed if node.region == question.region]
-    return _some(in_region or allowed, core_machines)
-
-
-def _some(fronts: list[NodeRecord], core_machines: frozenset[str]) -> list[NodeRecord]:
-    """Return the part of the fronts that takes traffic, the same in every opinion.
-
-    Zones take turns, and machines that also run a core come last: they have other work, and
-    what strikes the core need not strike the traffic.
-    """
-    count = max(LEAST_FRONTS, math.ceil(len(fronts) * FRONTS_SHARE))
-    by_zone: dict[str, list[NodeRecord]] = {}
-    for node in sorted(
-        fronts, key=lambda n: (_machine(n.http_address) in core_machines, n.node_id)
-    ):
-        by_zone.setdefault(node.zone, []).append(node)
-    ranked = [
-        (place, zone, node) for zone, nodes in by_zone.items() for place, node in enumerate(nodes)
-    ]
-    ranked.sort(key=lambda entry: (_machine(entry[2].http_address) in core_machines, *entry[:2]))
-    return [node for _, _, node in ranked[:count]]
-
-
-def _machine(address: str) -> str:
-    return address.rpartition(":")[0]
+    return serving_fronts(in_region or allowed, core_machines)
--- /dev/null
+++ b/rooklug/gateway/serving_fronts.py
@@ -0,0 +1,41 @@
+"""Which fronts take the clients' traffic of a region: the same ones in every front's opinion."""
+
+import math
+
+from rooklug.runtime.addresses import split_address
+from rooklug.wire.generated.control.ttypes import NodeRecord
+
+LEAST_FRONTS = 2
+FRONTS_SHARE = 1 / 4
+"""Part of a region's fronts that its clients are sent to: fewer fronts know more of the load of
+each replica and of what it holds, and keep fewer connections; the rest stand by."""
+
+
+def serving_fronts(fronts: list[NodeRecord], core_machines: frozenset[str]) -> list[NodeRecord]:
+    """Return the part of a region's ready fronts that takes traffic.
+
+    Zones take turns, and machines that also run a core come last: they have other work, and
+    what strikes the core need not strike the traffic. ``core_machines`` are IP addresses.
+    """
+
+    def runs_core(node: NodeRecord) -> bool:
+        return machine_of(node.http_address) in core_machines
+
+    by_zone: dict[str, list[NodeRecord]] = {}
+    for node in sorted(fronts, key=lambda n: (runs_core(n), n.node_id)):
+        by_zone.setdefault(node.zone, []).append(node)
+    ranked = [
+        (place, zone, node) for zone, nodes in by_zone.items() for place, node in enumerate(nodes)
+    ]
+    ranked.sort(key=lambda entry: (runs_core(entry[2]), *entry[:2]))
+    return [node for _, _, node in ranked[: serving_count(len(fronts))]]
+
+
+def serving_count(fronts: int) -> int:
+    """Return how many of a region's ready fronts take its traffic."""
+    return max(LEAST_FRONTS, math.ceil(fronts * FRONTS_SHARE))
+
+
+def machine_of(address: str) -> str:
+    """Return the IP address of a network address "ip:port"."""
+    return split_address(address)[0]
--- a/rooklug/gateway/view_keeper.py
+++ b/rooklug/gateway/view_keeper.py
@@ -7,6 +7,7 @@
 from rooklug.engine.composite import Notify, PartDefaults
 from rooklug.gateway.document import read_gateway_configuration
 from rooklug.gateway.notices import ViewChanged
+from rooklug.gateway.serving_fronts import machine_of
 from rooklug.gateway.view import FRONT_ROLE, GatewayReplica, GatewayView, matrix_of
 from rooklug.model.notices import TopicChanged
 from rooklug.model.topics import CONFIGURATION, MEMBERS, PLAN, REPLICAS, ZONES
@@ -70,7 +71,7 @@
 
     def _take_members(self, body: MembersBody, now: float) -> list[fx.Effect]:
         fronts = tuple(node for node in body.nodes if node.role == FRONT_ROLE)
-        machines = {address.rpartition(":")[0] for address in body.core_addresses or ()}
+        machines = {machine_of(address) for address in body.core_addresses or ()}
         self.view = attrs.evolve(self.view, fronts=fronts, core_machines=frozenset(machines))
         return []
 
--- a/rooklug_lab/gateway/oracles.py
+++ b/rooklug_lab/gateway/oracles.py
@@ -17,7 +17,7 @@
 RECOVERY_S = 12.0
 IN_TOUCH_S = 4.0
 QUARTER = 0.25
-COLD_FACTOR = 1.5
+COLD_OVERSHOOT = 1.5
 COLD_SLACK = 5
 ACKNOWLEDGED_WITHIN_S = 5.0
 
@@ -98,7 +98,7 @@
 
 def cold_get_a_trickle(journal: Journal, cold_rate: float) -> Iterator[str]:
     """In no second does a cold replica get more than it bears."""
-    bound = cold_rate * COLD_FACTOR + COLD_SLACK
+    bound = cold_rate * COLD_OVERSHOOT + COLD_SLACK
     by_replica: dict[str, list[Run]] = defaultdict(list)
     for run in journal.runs:
         if run.cold:
--- a/rooklug_lab/gateway/site.py
+++ b/rooklug_lab/gateway/site.py
@@ -4,10 +4,12 @@
 from collections.abc import Callable, Iterable
 
 from rooklug.gateway.build import GatewayLimits, compose_gateway_core, compose_gateway_front
+from rooklug.gateway.replica_pace import ColdBound
 from rooklug.model.settings import CoreSettings, NodeSettings
 from rooklug_lab.gateway.clients import HOST, ClientStandIn, OperatorStandIn
 from rooklug_lab.gateway.dialect import control_dialect, edge_dialect
 from rooklug_lab.gateway.journal import Disturbance, Journal, Order
+from rooklug_lab.gateway.oracles import COLD_OVERSHOOT, COLD_SLACK
 from rooklug_lab.gateway.replicas import PlatformStandIn, ReplicaEntry, ReplicaStandIn
 from rooklug_lab.sim.network import Place
 from rooklug_lab.sim.process import SimulatedProcess
@@ -32,7 +34,7 @@
         self.replicas: list[ReplicaEntry] = []
         self.cores = [f"core-{zone}" for zone in ZONES]
         self.fronts: list[str] = []
-        self._limits = limits or GatewayLimits()
+        self._limits = limits or GatewayLimits(cold_bound=ColdBound(COLD_OVERSHOOT, COLD_SLACK))
         self._first_start = True
         self._version = 0
         self._routes: list[str] = []
--- /dev/null
+++ b/tests/test_gateway_pace.py
@@ -0,0 +1,98 @@
+"""Replicas that turn cold without a word: the bound holds from the first moment."""
+
+import unittest
+from collections import Counter
+
+from rooklug.engine import effects as fx
+from rooklug.gateway.replica_pace import ColdBound, ReplicaPace, Room, own_counts
+from rooklug.gateway.serving_fronts import serving_count, serving_fronts
+from rooklug.gateway.view import GatewayView
+from tests.gateway_support import NAMES, GatewayFront, front, replica, route_item
+from tests.test_gateway_limits import busiest_second
+
+ROUTE = route_item("s", "/s/", execution="event_stream", service="model", affinity=True)
+BOUND = ColdBound(1.5, 5.0)
+
+
+def view_of(north: int, south: int) -> GatewayView:
+    """Return a view with so many ready fronts in two regions."""
+    fronts = [front(n) for n in range(1, north + 1)]
+    fronts += [front(100 + n, region="south", zone="south-a") for n in range(1, south + 1)]
+    return GatewayView(fronts=tuple(fronts))
+
+
+class Parts(unittest.TestCase):
+    def test_the_parts_of_all_serving_fronts_stay_within_the_bound(self):
+        for north, south in ((8, 3), (4, 4), (1, 0), (5, 0)):
+            for rate in (6.0, 10.0, 40.0):
+                with self.subTest(north=north, south=south, rate=rate):
+                    view, target = view_of(north, south), replica(1, "model")
+                    most = BOUND.requests(rate)
+                    near = own_counts(most, target, "north", view)[0] * serving_count(north)
+                    far = own_counts(most, target, "south", view)[0] * serving_count(south)
+                    self.assertLessEqual(near + (far if south else 0), most)
+
+    def test_a_front_keeps_to_its_part_in_every_second(self):
+        pace, target, view, times = ReplicaPace(BOUND), replica(1, "model"), view_of(8, 3), []
+        for step in range(600):
+            now = step / 200
+            if pace.room(target, 10.0, "north", view, now) is not Room.NONE:
+                pace.sent(target.replica_id, now)
+                times.append(now)
+        self.assertEqual(busiest_second(times), own_counts(20.0, target, "north", view)[1])
+
+    def test_a_service_without_a_cold_rate_is_not_limited(self):
+        pace, target = ReplicaPace(BOUND), replica(1)
+        for _ in range(100):
+            pace.sent(target.replica_id, 0.0)
+        self.assertIs(pace.room(target, 0.0, "north", view_of(1, 0), 0.0), Room.FREE)
+
+    def test_replicas_that_are_gone_are_forgotten(self):
+        pace = ReplicaPace(BOUND)
+        pace.sent("r-1", 0.0)
+        pace.forget_except({"r-2"})
+        self.assertEqual(pace._sent_at, {})
+
+
+class Overflow(unittest.TestCase):
+    def send(self, gateway: GatewayFront) -> fx.Effect:
+        (effect,) = gateway.request("/s/1", headers={NAMES.prompt_parts: "aa:10,bb:10"})
+        return effect
+
+    def test_a_burst_goes_on_to_other_replicas_then_it_is_refused_at_once(self):
+        gateway = GatewayFront([ROUTE], [replica(n, "model") for n in (1, 2)])
+        bound = gateway.decision.pace.bound.requests(10.0)
+        part, limit = own_counts(bound, replica(1), "north", gateway.view)
+        calls = [self.send(gateway) for _ in range(2 * part)]
+        self.assertEqual(Counter(call.address for call in calls).most_common()[-1][1], part)
+        calls += [self.send(gateway) for _ in range(2 * (limit - part))]
+        self.assertEqual(Counter(call.address for call in calls).most_common()[-1][1], limit)
+        refusal = self.send(gateway)
+        self.assertEqual(refusal.status, 503)
+        self.assertIn("retry-after", refusal.headers)
+        gateway.now += 1.2
+        self.assertIsInstance(self.send(gateway), fx.HttpCall)
+
+    def test_another_region_comes_before_more_than_the_own_part(self):
+        far = replica(2, "model", region="south", zone="south-a")
+        gateway = GatewayFront([ROUTE], [replica(1, "model"), far])
+        bound = gateway.decision.pace.bound.requests(10.0)
+        part, _ = own_counts(bound, replica(1), "north", gateway.view)
+        addresses = [self.send(gateway).address for _ in range(part + 1)]
+        self.assertEqual(addresses, ["10.0.0.1:80"] * part + [far.address])
+
+
+class ServingFronts(unittest.TestCase):
+    def test_zones_take_turns_and_core_machines_come_last(self):
+        zones = {1: "a", 2: "a", 3: "b", 4: "b", 5: "b", 6: "b", 7: "a", 8: "a"}
+        fronts = [front(number, zone=zone) for number, zone in zones.items()]
+        chosen = serving_fronts(fronts, frozenset({"10.1.0.1", "10.1.0.3"}))
+        self.assertEqual([node.node_id for node in chosen], ["front-2", "front-4"])
+
+    def test_every_front_of_a_small_region_serves(self):
+        fronts = [front(1)]
+        self.assertEqual(serving_fronts(fronts, frozenset({"10.1.0.1"})), fronts)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_gateway_site.py
+++ b/tests/test_gateway_site.py
@@ -14,6 +14,7 @@
 from rooklug.gateway.cold_gate import ColdGate
 from rooklug.gateway.executor import GatewayExecutor
 from rooklug.gateway.passage import Passage
+from rooklug.gateway.replica_pace import ReplicaPace, Room
 from rooklug.gateway.view import GatewayView
 from rooklug.gateway.view_keeper import GatewayViewKeeper
 from rooklug_lab.cli import build_parser
@@ -88,6 +89,10 @@
     return Judgement(Verdict.FRESH)
 
 
+def _always_room(*_: Any) -> Room:
+    return Room.FREE
+
+
 TAKE_CONFIGURATION = GatewayViewKeeper._take_configuration
 
 
@@ -101,6 +106,11 @@
                     return
         self.fail(f"{oracle} noticed nothing")
 
+    def caught_unpaced(self, oracle: str, scenario: str, *replaced: Any) -> None:
+        """Switch the pace at warm replicas off as well: it also spares those that are cold."""
+        with mock.patch.object(ReplicaPace, "room", _always_room):
+            self.caught(oracle, scenario, *replaced)
+
     def test_a_request_that_may_have_run_is_not_sent_again(self) -> None:
         always = lambda passage: True  # noqa: E731
         self.caught("runs_once", "replicas_fail", Passage, "may_send_again", always)
@@ -121,11 +131,16 @@
 
     def test_cold_replicas_are_spared(self) -> None:
         always = lambda *_: True  # noqa: E731
-        self.caught("cold_get_a_trickle", "traffic_moves", ColdGate, "may_send", always)
+        replaced = (ColdGate, "may_send", always)
+        self.caught_unpaced("cold_get_a_trickle", "traffic_moves", *replaced)
+
+    def test_replicas_that_may_turn_cold_are_paced(self) -> None:
+        with mock.patch.object(ReplicaPace, "room", _always_room):
+            self.assertIn("cold_get_a_trickle", run_gateway_scenario("traffic_moves", 20).broken)
 
     def test_a_zone_that_is_taken_back_counts_as_cold(self) -> None:
         replaced = (view_keeper, "RESTORED_COLD_S", 0.0)
-        self.caught("cold_get_a_trickle", "zone_returns_cold", *replaced)
+        self.caught_unpaced("cold_get_a_trickle", "zone_returns_cold", *replaced)
 
     def test_changes_are_followed(self) -> None:
         replaced = (GatewayViewKeeper, "_take_configuration", _first_only)
