Late requests may leave the plan's region; a stream's failure goes back whole

Also: a failure's body of over 64 KiB in place of a stream was cut; it goes back whole up to 1 MiB, a longer one is given up. Dead notice and field taken out. Costs have their own module.

--- a/rooklug/gateway/decision.py
+++ b/rooklug/gateway/decision.py
@@ -3,28 +3,21 @@
 from random import Random
 
 import attrs
-import xxhash
 
 from rooklug.front.outcomes import AttemptOutcome
 from rooklug.gateway.cold_gate import ColdGate
 from rooklug.gateway.document import Route, Service
 from rooklug.gateway.prefix_table import PrefixTable
 from rooklug.gateway.read_rate import ReadRate
+from rooklug.gateway.replica_cost import Cost, CostModel, rank_of
 from rooklug.gateway.replica_load import ReplicaLoad
 from rooklug.gateway.replica_pace import ReplicaPace, Room
 from rooklug.gateway.requests import PassedRequest
 from rooklug.gateway.view import GatewayReplica, GatewayView
 
-READ_AGAIN_WEIGHT = 5.0
-"""Reading shared tokens again weighs as much as waiting so many times as long."""
-LIKELY_HELD_SHARE = 0.5
-"""Weight of a token at the replica that all fronts agree on: another front may have sent it."""
-RUNNING_TOKENS = 60.0
-"""A running request slows the others as much as so many prompt tokens."""
-PATIENCE_SHARE = 0.5
-"""A wait of more than this part of the route's latency objective endangers it."""
-LATE_WEIGHT = 10.0
-"""Weight of each second beyond that."""
+CROSSING_S = 0.4
+"""A request that would be late leaves the plan's region only if that saves more cost than this:
+the way there and back, and what crossing regions is priced at."""
 RETRY_AFTER_COLD_S = 0.5
 RETRY_AFTER_NO_REPLICA_S = 1.0
 
@@ -98,11 +91,7 @@
             return Refuse("replicas are cold or at their pace", RETRY_AFTER_COLD_S)
         free = [r for r in open_ones if self._room(r, service, now) is Room.FREE]
         open_ones = free or open_ones
-        for level in self._region_levels(request, route, service):
-            candidates = [replica for replica in open_ones if replica.region in level]
-            if candidates:
-                return ServeAt(self._pick(request, route, service, candidates, now))
-        return ServeAt(self._pick(request, route, service, open_ones, now))
+        return ServeAt(self._choose(request, route, service, open_ones, now))
 
     def sent(
         self,
@@ -172,42 +161,53 @@
         levels.append(frozenset({self.region}))
         return levels
 
-    def _pick(
+    def _choose(
         self,
         request: PassedRequest,
         route: Route,
         service: Service,
-        candidates: list[GatewayReplica],
+        open_ones: list[GatewayReplica],
         now: float,
     ) -> GatewayReplica:
-        if route.affinity and request.parts:
-            return self._pick_by_cost(request, route, candidates, now)
-        return min(candidates, key=lambda r: (self._running(r), r.zone != self.zone, self._tie()))
-
-    def _pick_by_cost(
+        """Return a replica in the region that the plan names, or where the request isn't late."""
+        near = self._in_first_region(request, route, service, open_ones)
+        if not (route.affinity and request.parts):
+            return self._least_running(near)
+        model = self._cost_model(request, route, near)
+        cheapest = self._cheapest(model, near, now)
+        if cheapest.is_late and len(near) < len(open_ones):
+            elsewhere = self._cheapest(model, open_ones, now)
+            if elsewhere.total_s + CROSSING_S < cheapest.total_s:
+                return elsewhere.replica
+        return cheapest.replica
+
+    def _in_first_region(
         self,
         request: PassedRequest,
         route: Route,
-        candidates: list[GatewayReplica],
-        now: float,
-    ) -> GatewayReplica:
-        """Return the replica with the least cost, in seconds: waiting, and reading again."""
+        service: Service,
+        open_ones: list[GatewayReplica],
+    ) -> list[GatewayReplica]:
+        for level in self._region_levels(request, route, service):
+            candidates = [replica for replica in open_ones if replica.region in level]
+            if candidates:
+                return candidates
+        return open_ones
+
+    def _least_running(self, candidates: list[GatewayReplica]) -> GatewayReplica:
+        return min(candidates, key=lambda r: (self._running(r), r.zone != self.zone, self._tie()))
+
+    def _cost_model(
+        self, request: PassedRequest, route: Route, near: list[GatewayReplica]
+    ) -> CostModel:
         shared = request.parts[:-1] or request.parts
-        ranks = {r.replica_id: _rank(shared[-1].part_id, r.replica_id) for r in candidates}
-        likely = max(candidates, key=lambda r: ranks[r.replica_id]).replica_id
-        patience_s = route.latency_objective_s * PATIENCE_SHARE
+        likely = max(near, key=lambda r: rank_of(shared, r.replica_id)).replica_id
         rate = self.read_rate.tokens_per_s
+        return CostModel(shared, route.latency_objective_s, rate, self.prefixes, likely)
 
-        def cost(replica: GatewayReplica) -> tuple[float, int]:
-            load = self._load(replica)
-            missing = self.prefixes.missing(replica.replica_id, shared, now)
-            wait_s = (load.waiting_tokens + missing + RUNNING_TOKENS * load.running) / rate
-            held = LIKELY_HELD_SHARE if replica.replica_id == likely else 1.0
-            again_s = missing * held * READ_AGAIN_WEIGHT / rate
-            late_s = max(wait_s - patience_s, 0.0) * LATE_WEIGHT
-            return (wait_s + again_s + late_s, -ranks[replica.replica_id])
-
-        return min(candidates, key=cost)
+    def _cheapest(self, model: CostModel, candidates: list[GatewayReplica], now: float) -> Cost:
+        costs = [model.of(replica, self._load(replica), now) for replica in candidates]
+        return min(costs, key=lambda cost: cost.order)
 
     def _may_send(self, replica: GatewayReplica, service: Service, now: float) -> bool:
         rate_per_s = service.cold_rate_per_s
@@ -243,8 +243,3 @@
 
     def _tie(self) -> float:
         return self.random.random()
-
-
-def _rank(key: str, replica_id: str) -> int:
-    """Return a rendezvous hash: all fronts rank the replicas of a key alike."""
-    return xxhash.xxh64_intdigest(f"{key}/{replica_id}".encode())
--- a/rooklug/gateway/executor.py
+++ b/rooklug/gateway/executor.py
@@ -45,7 +45,8 @@
 _WATCH_TIMER = "watch"
 NOT_EXECUTED_STATUSES = frozenset({400, 421, 429, 503})
 LOWEST_PRIORITY = 9
-MAX_REFUSAL_BYTES = 64 * 1024
+# A failure is held until it is whole; a longer body is no failure's body.
+MAX_FAILURE_BYTES = 1024 * 1024
 
 
 @attrs.define
@@ -185,7 +186,6 @@
         passage.replica = replica
         passage.tried.add(replica.replica_id)
         passage.sends += 1
-        passage.sent_at = now
         passage.call_id = self._identifiers.next()
         self._by_call[passage.call_id] = passage
         self._decision.sent(passage.call_id, passage.request, replica, passage.service, now)
@@ -271,8 +271,7 @@
         if passage is None:
             return []
         if not 200 <= passage.status < 300:
-            passage.failure_body.append(event.data)
-            return []
+            return self._failure_piece(passage, event, now)
         self._decision.heard(event.call_id, passage.replica, now)
         passage.heard_at = now
         data = passage.tail + event.data
@@ -283,12 +282,22 @@
         passage.last_event_id = last_event_id(data[:whole]) or passage.last_event_id
         return [fx.HttpStreamPiece(passage.request.http_id, data[:whole])]
 
+    def _failure_piece(
+        self, passage: Passage, event: ev.HttpBodyPiece, now: float
+    ) -> list[fx.Effect]:
+        passage.failure_body.append(event.data)
+        if sum(len(piece) for piece in passage.failure_body) <= MAX_FAILURE_BYTES:
+            return []
+        self._by_call.pop(event.call_id)
+        self._ended_at_replica(passage, AttemptOutcome.BROKEN, now)
+        return [fx.CancelHttpCall(event.call_id), *self._stream_broke(passage, now)]
+
     def _ended(self, event: ev.HttpResponseEnded, now: float) -> list[fx.Effect]:
         passage = self._by_call.pop(event.call_id, None)
         if passage is None:
             return []
         if not 200 <= passage.status < 300:
-            body = b"".join(passage.failure_body)[:MAX_REFUSAL_BYTES]
+            body = b"".join(passage.failure_body)
             return self._whole_answer(passage, passage.status, passage.headers, body, now)
         if passage.tail:  # the end came within an event
             self._ended_at_replica(passage, AttemptOutcome.BROKEN, now)
--- a/rooklug/gateway/lifecycle.py
+++ b/rooklug/gateway/lifecycle.py
@@ -4,8 +4,8 @@
 
 from rooklug.engine import effects as fx
 from rooklug.engine import events as ev
-from rooklug.engine.composite import Notify, PartDefaults
-from rooklug.gateway.notices import DrainingStarted, ViewChanged
+from rooklug.engine.composite import PartDefaults
+from rooklug.gateway.notices import ViewChanged
 from rooklug.gateway.view import GatewayView
 
 _TIMER = "drain"
@@ -57,7 +57,6 @@
         return [
             *self._core_link.set_ready(False),
             *self._core_link.set_draining(True),
-            Notify(DrainingStarted()),
             fx.StartTimer(_TIMER, _CHECK_S),
         ]
 
--- a/rooklug/gateway/notices.py
+++ b/rooklug/gateway/notices.py
@@ -23,11 +23,6 @@
     service: str
 
 
-@attrs.frozen
-class DrainingStarted(Notice):
-    """This front is about to end."""
-
-
 @attrs.frozen
 class ReplicasListed(Notice):
     """At the primary: the platform's list has changed."""
--- a/rooklug/gateway/passage.py
+++ b/rooklug/gateway/passage.py
@@ -33,7 +33,6 @@
     replica: GatewayReplica | None = None
     call_id: int = 0
     sends: int = 0
-    sent_at: float = 0.0
     may_have_run: bool = False
     tried: set[str] = attrs.field(factory=set)
     status: int = 0
--- a/tests/test_gateway_executor.py
+++ b/tests/test_gateway_executor.py
@@ -2,6 +2,7 @@
 
 from rooklug.engine import effects as fx
 from rooklug.engine import events as ev
+from rooklug.gateway.executor import MAX_FAILURE_BYTES
 from rooklug.gateway.retry_budget import RetryBudgetSettings
 from tests.gateway_support import NAMES, GatewayFront, answer_headers, replica, route_item
 
@@ -178,6 +179,22 @@
         (answer,) = self.front.handle(ev.HttpResponseEnded(self.call.call_id))
         self.assertEqual((answer.status, answer.body), (500, b"sorry"))
 
+    def test_a_long_failure_is_not_cut(self):
+        self.start(500)
+        for _ in range(3):
+            self.piece(b"x" * 40_000)
+        (answer,) = self.front.handle(ev.HttpResponseEnded(self.call.call_id))
+        self.assertEqual(len(answer.body), 120_000)
+
+    def test_a_failure_without_an_end_is_given_up(self):
+        self.start(500)
+        piece = b"x" * (MAX_FAILURE_BYTES // 2)
+        self.assertEqual(self.piece(piece), [])
+        self.assertEqual(self.piece(piece), [])
+        cancelled, answer = self.piece(b"x")
+        self.assertEqual(cancelled, fx.CancelHttpCall(self.call.call_id))
+        self.assertEqual(answer.status, 502)
+
 
 class Resuming(unittest.TestCase):
     def setUp(self):
