The regions' placement problem has its own module, imported at the first solve

region_planner.py keeps the part that reports, solves and publishes; region_problem.py builds the problem and reads the matrix.

--- /dev/null
+++ b/rooklug/gateway/region_problem.py
@@ -0,0 +1,129 @@
+"""The placement problem of a gateway's regions, and the matrix that its plan gives.
+
+A service of the gateway is a model of the placement, and its replicas are slots that hold just
+that model. Imported at the first solve only: a core starts sooner without it.
+"""
+
+from collections import defaultdict
+
+import attrs
+
+from rooklug.config.document import Model, RegionWeights, ResourceNeed, RoundTrip
+from rooklug.gateway.document import GatewayConfiguration
+from rooklug.placement.problem import (
+    DemandKey,
+    PlacementProblem,
+    RegionFacts,
+    ReplicaSlot,
+    RouteShare,
+)
+from rooklug.wire.generated.control.ttypes import ListedReplica, RouteWeight
+
+SOLVE_LIMIT_S = 0.5
+ASSUMED_ROUND_TRIP_MS = 50.0
+"""Between regions: beyond "zonal", so that a plan keeps traffic near while it can."""
+LOAD_TOKENS_A_SLOT_S = 40.0
+"""What a slot sustains, in load tokens (prompt/8 + answer); a default of ours."""
+_CLASS = "any"
+
+MeasuredLoads = dict[tuple[str, str], float]
+"""Load tokens/s by service and source region."""
+
+
+@attrs.frozen
+class RegionSite:
+    """What a plan is made for: configuration, listed replicas and emptied zones."""
+
+    configuration: GatewayConfiguration
+    replicas: tuple[ListedReplica, ...]
+    emptied_zones: frozenset[str]
+
+    def problem(self, measured: MeasuredLoads) -> PlacementProblem:
+        """Return the placement problem under the measured demand."""
+        usable = [
+            replica
+            for replica in self.replicas
+            if not replica.leaving and replica.zone not in self.emptied_zones
+        ]
+        regions = sorted({replica.region for replica in self.replicas})
+        services = [
+            name
+            for name in sorted(self.configuration.services)
+            if any(replica.backend == name for replica in usable)
+        ]
+        return PlacementProblem(
+            models={name: _model(name, usable) for name in services},
+            regions={region: _facts(region, regions) for region in regions},
+            slots=tuple(_slot(replica) for replica in usable if replica.backend in services),
+            demand=self._demand(services, regions, measured),
+            max_moves=0,
+            solve_limit_s=SOLVE_LIMIT_S,
+        )
+
+    def _demand(
+        self, services: list[str], regions: list[str], measured: MeasuredLoads
+    ) -> dict[DemandKey, float]:
+        homes = self._homes_by_service()
+        return {
+            DemandKey(service, _CLASS, region, bound): measured.get((service, region), 0.0)
+            / len(homes[service])
+            for service in services
+            for region in regions
+            for bound in sorted(homes[service])
+        }
+
+    def _homes_by_service(self) -> dict[str, set[tuple[str, ...]]]:
+        homes: dict[str, set[tuple[str, ...]]] = defaultdict(set)
+        for by_prefix in self.configuration.routes.values():
+            for route in by_prefix.values():
+                for share in route.shares:
+                    homes[share.service].add(tuple(route.home_regions))
+        return homes
+
+
+def _model(service: str, replicas: list[ListedReplica]) -> Model:
+    slots = max(replica.slots or 1 for replica in replicas if replica.backend == service)
+    need = ResourceNeed(units=1.0, tokens_per_s=LOAD_TOKENS_A_SLOT_S * slots, concurrency=slots)
+    return Model(latency_classes={_CLASS: RoundTrip.ZONAL}, resources={service: need})
+
+
+def _facts(region: str, regions: list[str]) -> RegionFacts:
+    others = {other: ASSUMED_ROUND_TRIP_MS for other in regions if other != region}
+    return RegionFacts(RegionWeights(spill=1.0), others)
+
+
+def _slot(replica: ListedReplica) -> ReplicaSlot:
+    return ReplicaSlot(
+        replica_id=replica.replica_id,
+        region=replica.region,
+        zone=replica.zone,
+        resource=replica.backend,
+        resource_units=1.0,
+        loaded_models=(replica.backend,),
+    )
+
+
+def matrix_cells(matrix: tuple[RouteShare, ...]) -> list[RouteWeight]:
+    """Return the matrix for fronts: planned traffic first, by its amounts, also the late part.
+
+    Fronts of a gateway don't know how full a region is, so a spill that the plan counts on
+    must be a weight of the first preference.
+    """
+    totals: dict[DemandKey, float] = defaultdict(float)
+    for share in matrix:
+        totals[share.demand_key] += share.planned
+    return [_cell(share, totals[share.demand_key]) for share in matrix]
+
+
+def _cell(share: RouteShare, total: float) -> RouteWeight:
+    key = share.demand_key
+    planned = total > 0 and share.planned > 0
+    return RouteWeight(
+        model=key.model,
+        latency_class=key.latency_class,
+        source_region=key.source_region,
+        destination_region=share.destination_region,
+        preference=0 if planned else share.preference + (total > 0),
+        weight=share.planned / total if planned else share.weight,
+        home_regions=list(key.home_regions),
+    )
--- a/rooklug/storage/folder.py
+++ b/rooklug/storage/folder.py
@@ -7,7 +7,6 @@
 import json
 import os
 import re
-import secrets
 from collections.abc import Iterable
 from pathlib import Path
 
@@ -205,7 +204,7 @@
         return _read_identity(path, node_id).map(lambda identity: (identity, False))
     if any(folder.glob(f"*{RECORDS_SUFFIX}")):
         return Error(FolderError(f"data folder {folder} has records but no {IDENTITY_FILE}"))
-    identity = secrets.token_hex(_IDENTITY_BYTES)
+    identity = os.urandom(_IDENTITY_BYTES).hex()
     content = {"node_id": node_id, "disk_identity": identity}
     _replace_file(path, json.dumps(content).encode())
     return Ok((identity, True))
