--- a/rooklug/gateway/decision.py
+++ b/rooklug/gateway/decision.py
@@ -9,15 +9,12 @@
 from rooklug.gateway.document import Route, Service
 from rooklug.gateway.prefix_table import PrefixTable
 from rooklug.gateway.read_rate import ReadRate
-from rooklug.gateway.replica_cost import Cost, CostModel, rank_of
+from rooklug.gateway.replica_cost import CostModel, rank_of
 from rooklug.gateway.replica_load import ReplicaLoad
 from rooklug.gateway.replica_pace import ReplicaPace, Room
 from rooklug.gateway.requests import PassedRequest
 from rooklug.gateway.view import GatewayReplica, GatewayView
 
-CROSSING_S = 0.4
-"""A request that would be late leaves the plan's region only if that saves more cost than this:
-the way there and back, and what crossing regions is priced at."""
 RETRY_AFTER_COLD_S = 0.5
 RETRY_AFTER_NO_REPLICA_S = 1.0
 
@@ -169,17 +166,13 @@
         open_ones: list[GatewayReplica],
         now: float,
     ) -> GatewayReplica:
-        """Return a replica in the region that the plan names, or where the request isn't late."""
+        """Return a replica in the region that the plan names."""
         near = self._in_first_region(request, route, service, open_ones)
         if not (route.affinity and request.parts):
             return self._least_running(near)
         model = self._cost_model(request, route, near)
-        cheapest = self._cheapest(model, near, now)
-        if cheapest.is_late and len(near) < len(open_ones):
-            elsewhere = self._cheapest(model, open_ones, now)
-            if elsewhere.total_s + CROSSING_S < cheapest.total_s:
-                return elsewhere.replica
-        return cheapest.replica
+        costs = [model.of(replica, self._load(replica), now) for replica in near]
+        return min(costs, key=lambda cost: cost.order).replica
 
     def _in_first_region(
         self,
@@ -205,10 +198,6 @@
         rate = self.read_rate.tokens_per_s
         return CostModel(shared, route.latency_objective_s, rate, self.prefixes, likely)
 
-    def _cheapest(self, model: CostModel, candidates: list[GatewayReplica], now: float) -> Cost:
-        costs = [model.of(replica, self._load(replica), now) for replica in candidates]
-        return min(costs, key=lambda cost: cost.order)
-
     def _may_send(self, replica: GatewayReplica, service: Service, now: float) -> bool:
         rate_per_s = service.cold_rate_per_s
         if self._room(replica, service, now) is Room.NONE:
--- a/rooklug/gateway/replica_cost.py
+++ b/rooklug/gateway/replica_cost.py
@@ -22,11 +22,10 @@
 
 @attrs.frozen
 class Cost:
-    """Parts of a replica's cost, in seconds. ``is_late``: the latency objective is in danger."""
+    """What a replica would cost, in seconds, and its rank for the prompt."""
 
     replica: GatewayReplica
     total_s: float
-    is_late: bool
     rank: int
 
     @property
@@ -58,7 +57,7 @@
         again_s = missing * held * READ_AGAIN_WEIGHT / self.tokens_per_s
         late_s = max(wait_s - self.objective_s * PATIENCE_SHARE, 0.0)
         total_s = wait_s + again_s + late_s * LATE_WEIGHT
-        return Cost(replica, total_s, late_s > 0, rank_of(self.parts, replica.replica_id))
+        return Cost(replica, total_s, rank_of(self.parts, replica.replica_id))
 
 
 def rank_of(parts: tuple[PromptPart, ...], replica_id: str) -> int:
