--- /dev/null
+++ b/rooklug_lab/gateway/random_day.py
@@ -0,0 +1,184 @@
+"""Days drawn at random on deployments drawn at random: how unseen sites are met.
+
+A day strikes several times, each time with another kind of trouble, some of them twice. What
+it takes away for good stays within what the deployment says it bears: over the whole day no
+more disks are lost than ``SiteShape.tolerance``. Half of the days end with the loss of
+everything that runs.
+"""
+
+from collections.abc import Callable
+from random import Random
+
+import attrs
+
+from rooklug_lab.gateway.journal import Order
+from rooklug_lab.gateway.replicas import ReplicaEntry
+from rooklug_lab.gateway.site import GatewaySite
+
+LAST_MOMENT_S = 9.0
+FEWEST, MOST = 4, 8
+IN_USE_AFTER_S = 4.0
+FINAL_LOSS_AT_S = 12.0
+FINAL_LOSS_SHARE = 0.5
+
+
+@attrs.define
+class RandomDay:
+    """Draws the troubles of one day and strikes with each at its moment."""
+
+    site: GatewaySite
+    random: Random
+    disks_left: int = 0
+    changes: int = 0
+
+    def begin(self) -> None:
+        """Draw the day."""
+        self.disks_left = self.site.shape.tolerance
+        troubles = self._troubles()
+        for _ in range(self.random.randint(FEWEST, MOST)):
+            self._later(self.random.uniform(0.0, LAST_MOMENT_S), self.random.choice(troubles))
+        for _ in range(self.random.randint(1, 5)):
+            self._later(self.random.uniform(0.0, FINAL_LOSS_AT_S), self.change)
+        if self.random.random() < FINAL_LOSS_SHARE:
+            self._later(FINAL_LOSS_AT_S, self.lose_everything)
+
+    def _troubles(self) -> list[Callable[[], None]]:
+        return [
+            self.kill_primary,
+            self.kill_after_change,
+            self.kill_all_cores,
+            self.kill_fronts,
+            self.cut_core,
+            self.cut_front,
+            self.cut_zone,
+            self.stall_disk,
+            self.jump_clocks,
+            self.crash_replica,
+            self.replica_leaves,
+            self.replicas_turn_cold,
+            self.evacuate,
+            self.burst,
+            self.rivals,
+        ]
+
+    # Control -----------------------------------------------------------------
+
+    def change(self) -> None:
+        """Bring a further route; clients use it when it is acknowledged."""
+        self.changes += 1
+        name = f"drawn{self.changes}"
+        order = self.site.change([name])
+        self._later(IN_USE_AFTER_S, lambda: self._use(order, f"/{name}/1"))
+
+    def rivals(self) -> None:
+        """Two changes on one base, and an invalid one."""
+        self.change()
+        self.site.rival()
+        self.site.invalid()
+
+    def kill_primary(self) -> None:
+        """Kill the primary's process, or its machine, or that and its disk."""
+        power = self.random.random() < 0.5
+        wipe = power and self.disks_left > 0 and self.random.random() < 0.5
+        self.disks_left -= wipe
+        self.site.kill([self.site.primary()], self._pause(), power=power, wipe=wipe)
+
+    def kill_after_change(self) -> None:
+        """Kill the primary a moment after a change was sent."""
+        self.change()
+        self._later(self.random.uniform(0.0, 0.2), self.kill_primary)
+
+    def kill_all_cores(self) -> None:
+        """Kill every core's process at one moment."""
+        self.site.kill(self.site.cores, self._pause())
+
+    def cut_core(self) -> None:
+        """Cut one core's machine off, in both directions or in one."""
+        core = self.random.choice([self.site.primary(), self.random.choice(self.site.cores)])
+        self.site.cut([core], self._pause(), outbound=self.random.random() < 0.6)
+
+    def cut_zone(self) -> None:
+        """Cut all cores and fronts of a zone off."""
+        zone = self._zone()
+        names = [*self.site.cores, *self.site.fronts]
+        inside = [name for name in names if self.site.process(name).place.zone == zone]
+        self.site.cut(inside, self._pause())
+
+    def stall_disk(self) -> None:
+        """Let a core's disk stand still."""
+        self.site.stall_disk(self.random.choice(self.site.cores), self._pause())
+
+    def jump_clocks(self) -> None:
+        """Move the time of day on all machines."""
+        self.site.jump_clocks(self.random.choice([-30_000, -5_000, 5_000, 30_000]))
+
+    # Fronts and replicas ---------------------------------------------------------
+
+    def kill_fronts(self) -> None:
+        """Kill a third of the fronts at one moment."""
+        count = max(len(self.site.fronts) // 3, 1)
+        names = self.random.sample(self.site.fronts, count)
+        self.site.kill(names, self._pause(), power=self.random.random() < 0.5)
+
+    def cut_front(self) -> None:
+        """Cut one front's machine off."""
+        self.site.cut([self.random.choice(self.site.fronts)], self._pause())
+
+    def crash_replica(self) -> None:
+        """End a replica or its machine; it comes back cold."""
+        entry = self._replica()
+        self.site.crash_replica(entry, self._pause(), dark=self.random.random() < 0.5)
+
+    def replica_leaves(self) -> None:
+        """Announce that a replica leaves, in time or at short notice."""
+        self.site.drain(self._replica(), after_s=self.random.choice([1.0, 6.0]))
+
+    def replicas_turn_cold(self) -> None:
+        """Let the replicas of a zone turn cold without a word."""
+        self.site.turn_cold(self._zone())
+
+    def evacuate(self) -> None:
+        """Empty a zone and take it back, its replicas cold by then or not."""
+        zone = self._zone()
+        back_s = self.random.uniform(2.0, 8.0)
+        self.site.order_zone(zone, "empty")
+        if self.random.random() < 0.5:
+            self._later(back_s - 0.1, lambda: self.site.turn_cold(zone))
+        self._later(back_s, lambda: self.site.order_zone(zone, "restore"))
+
+    def burst(self) -> None:
+        """Multiply the traffic of a region for a while."""
+        region = self.random.choice(self.site.shape.regions)
+        self.site.set_rate(region, self.random.uniform(2.0, 3.0))
+        self._later(4.0, lambda: self.site.set_rate(region, 1.0))
+
+    def lose_everything(self) -> None:
+        """End all processes, or the machines, at one moment."""
+        power = self.random.random() < 0.5
+        self.site.kill([*self.site.cores, *self.site.fronts], 1.0, power=power)
+
+    # Inside ------------------------------------------------------------------------
+
+    def _use(self, order: Order, path: str) -> None:
+        """Let clients use a route once its change is acknowledged."""
+        if order.taken_at:
+            self.site.add_path(path)
+        elif not order.refused:
+            self._later(IN_USE_AFTER_S, lambda: self._use(order, path))
+
+    def _later(self, delay_s: float, action: Callable[[], None]) -> None:
+        self.site.world.scheduler.after(delay_s, action)
+
+    def _pause(self) -> float:
+        return self.random.uniform(0.8, 4.0)
+
+    def _zone(self) -> str:
+        return self.random.choice(list(self.site.shape.zones))
+
+    def _replica(self) -> ReplicaEntry:
+        return self.random.choice(self.site.replicas)
+
+
+def random_day(site: GatewaySite, random: Random) -> None:
+    """Several troubles of any kind at any moment, on a deployment that nobody has seen."""
+    RandomDay(site, random).begin()
--- a/rooklug_lab/gateway/scenarios.py
+++ b/rooklug_lab/gateway/scenarios.py
@@ -11,7 +11,9 @@
 
 from rooklug_lab.gateway.journal import Journal
 from rooklug_lab.gateway.oracles import judge
-from rooklug_lab.gateway.site import COLD_RATE_PER_S, ZONES, GatewaySite
+from rooklug_lab.gateway.random_day import random_day
+from rooklug_lab.gateway.shape import FIXED_SHAPE, drawn_shape
+from rooklug_lab.gateway.site import GatewaySite
 
 WARM_UP_S = 6.0
 TROUBLE_S = 16.0
@@ -35,7 +37,7 @@
     _at(site, random, lambda: site.crash_replica(dark, 3.0, dark=True))
     _at(site, random, lambda: site.drain(leaving))
     _at(site, random, lambda: site.drain(second))
-    zone = random.choice(list(ZONES))
+    zone = random.choice(list(site.shape.zones))
     site.order_zone(zone, "empty")
     site.world.scheduler.after(9.0, lambda: site.turn_cold(zone))
     site.world.scheduler.after(9.1, lambda: site.order_zone(zone, "restore"))
@@ -126,9 +128,13 @@
         configurations_storm,
         traffic_moves,
         zone_returns_cold,
+        random_day,
     )
 }
 
+DRAWN = frozenset({random_day.__name__})
+"""Scenarios whose deployment is drawn, too."""
+
 
 @attrs.frozen
 class GatewayRun:
@@ -141,7 +147,8 @@
 
 def run_gateway_scenario(name: str, seed: int) -> GatewayRun:
     """Run one scenario under one seed, and judge it."""
-    site = GatewaySite(seed)
+    shape = drawn_shape(Random(seed)) if name in DRAWN else FIXED_SHAPE
+    site = GatewaySite(seed, shape)
     site.start()
     site.world.run_for(WARM_UP_S)
     SCENARIOS[name](site, Random(seed))
@@ -150,7 +157,7 @@
     site.read_back()
     attempts = [a for a in site.journal.attempts if a.ended_at]
     served = sum(attempt.served for attempt in attempts) / max(len(attempts), 1)
-    return GatewayRun(site.journal, judge(site.journal, COLD_RATE_PER_S), served)
+    return GatewayRun(site.journal, judge(site.journal, site.shape.cold_rate_per_s), served)
 
 
 def _at(site: GatewaySite, random: Random, action: Callable[[], None]) -> None:
--- /dev/null
+++ b/rooklug_lab/gateway/shape.py
@@ -0,0 +1,77 @@
+"""What a simulated gateway deployment consists of: a fixed one, or one drawn at random."""
+
+from random import Random
+
+import attrs
+
+LEAST_REPLICAS = 3
+MOST_CORES = 7
+
+
+@attrs.frozen
+class SiteShape:
+    """Sizes and bounds of a deployment.
+
+    ``zones`` maps each zone to its region, and ``core_zones`` names the zone of each core, the
+    three seeds first. ``client_rate_per_s`` counts for each region, ``cold_rate_per_s`` for
+    each replica of a model. ``minimum_copies``: disks that must hold a change before it is
+    acknowledged; one less may be lost at once.
+    """
+
+    zones: dict[str, str]
+    core_zones: tuple[str, ...]
+    minimum_copies: int = 2
+    fronts_a_zone: int = 3
+    models_a_zone: int = 2
+    region_delay_s: float = 0.02
+    client_rate_per_s: float = 12.0
+    cold_rate_per_s: float = 6.0
+
+    @property
+    def regions(self) -> list[str]:
+        """Return the regions by name."""
+        return sorted(set(self.zones.values()))
+
+    @property
+    def tolerance(self) -> int:
+        """Return how many disks may be lost at once."""
+        return self.minimum_copies - 1
+
+
+FIXED_ZONES = {"north-a": "north", "north-b": "north", "south-a": "south"}
+FIXED_SHAPE = SiteShape(zones=FIXED_ZONES, core_zones=tuple(FIXED_ZONES))
+"""Three cores, nine fronts, two regions: what most scenarios run on."""
+
+
+def drawn_shape(random: Random) -> SiteShape:
+    """Return a deployment that nobody has seen: one to three regions, three to seven cores."""
+    zones = _drawn_zones(random)
+    core_zones = _drawn_core_zones(random, list(zones))
+    models = random.randint(1, 3)
+    if models * len(zones) < LEAST_REPLICAS:
+        models = LEAST_REPLICAS
+    return SiteShape(
+        zones=zones,
+        core_zones=core_zones,
+        minimum_copies=2 if len(core_zones) < 5 else random.choice([2, 3]),
+        fronts_a_zone=random.randint(2, 4),
+        models_a_zone=models,
+        region_delay_s=random.uniform(0.005, 0.05),
+        client_rate_per_s=random.uniform(6.0, 12.0),
+        cold_rate_per_s=random.uniform(5.0, 12.0),
+    )
+
+
+def _drawn_zones(random: Random) -> dict[str, str]:
+    zones = {
+        f"region{region}-{letter}": f"region{region}"
+        for region in range(1, random.randint(1, 3) + 1)
+        for letter in "abc"[: random.randint(1, 3)]
+    }
+    return zones if len(zones) > 1 else {"region1-a": "region1", "region1-b": "region1"}
+
+
+def _drawn_core_zones(random: Random, zones: list[str]) -> tuple[str, ...]:
+    """Return each core's zone: zones take turns, so that the seeds are spread."""
+    count = random.choice([3, 3, 5, 6, MOST_CORES])
+    return tuple(zones[number % len(zones)] for number in range(count))
--- a/rooklug_lab/gateway/site.py
+++ b/rooklug_lab/gateway/site.py
@@ -11,36 +11,42 @@
 from rooklug_lab.gateway.journal import Disturbance, Journal, Order
 from rooklug_lab.gateway.oracles import COLD_OVERSHOOT, COLD_SLACK
 from rooklug_lab.gateway.replicas import PlatformStandIn, ReplicaEntry, ReplicaStandIn
+from rooklug_lab.gateway.shape import FIXED_SHAPE, SiteShape
 from rooklug_lab.sim.network import Place
 from rooklug_lab.sim.process import SimulatedProcess
 from rooklug_lab.sim.world import World
 
-ZONES = {"north-a": "north", "north-b": "north", "south-a": "south"}
-FRONTS_A_ZONE = 3
-MODEL_REPLICAS_A_ZONE = 2
-REGION_DELAY_S = 0.02
-COLD_RATE_PER_S = 6.0
+SEEDS = 3
+"""The first view is formed of so many cores; the others join it."""
 MODEL_COLD_S = 3.0
 LIST_ADDRESS = "10.200.0.1:80"
-CLIENT_RATE_PER_S = 12.0
 
 
 class GatewaySite:
-    """Three cores, nine fronts, replicas of two services, clients a region, an operator."""
+    """Cores, fronts, replicas of two services, clients of each region, an operator."""
 
-    def __init__(self, seed: int, limits: GatewayLimits | None = None) -> None:
-        self.world = World(seed, REGION_DELAY_S)
+    def __init__(
+        self,
+        seed: int,
+        shape: SiteShape = FIXED_SHAPE,
+        limits: GatewayLimits | None = None,
+    ) -> None:
+        self.shape = shape
+        self.world = World(seed, shape.region_delay_s)
         self.journal = Journal()
         self.replicas: list[ReplicaEntry] = []
-        self.cores = [f"core-{zone}" for zone in ZONES]
+        self.cores = _core_names(shape)
         self.fronts: list[str] = []
         self._limits = limits or GatewayLimits(cold_bound=ColdBound(COLD_OVERSHOOT, COLD_SLACK))
         self._first_start = True
         self._version = 0
         self._routes: list[str] = []
-        for number, (zone, region) in enumerate(ZONES.items(), start=1):
-            self._add_machines(number, zone, region)
-            self._add_replicas(number, zone, region)
+        self._zone_numbers = {zone: n for n, zone in enumerate(shape.zones, start=1)}
+        for place, zone in enumerate(shape.core_zones):
+            self._add_core(place, zone)
+        for zone in shape.zones:
+            self._add_fronts(zone)
+            self._add_replicas(zone)
         self._add_stand_ins()
 
     def start(self) -> None:
@@ -56,14 +62,15 @@
     def change(self, routes: Iterable[str] = (), version_step: int = 1) -> Order:
         """Send a configuration with further routes, as a whole document."""
         self._routes = sorted({*self._routes, *routes})
+        self._forget_refused()
         base, self._version = self._version, self._version + version_step
-        order = Order("change", self._version, document=_document(self._version, self._routes))
+        order = Order("change", self._version, document=self._document(self._version, self._routes))
         self._operate(lambda operator, now: operator.change(order, base, False, now))
         return order
 
     def rival(self) -> Order:
         """Send another change under the number and on the base of the newest one."""
-        document = _document(self._version, [*self._routes, "rival"])
+        document = self._document(self._version, [*self._routes, "rival"])
         order = Order("change", self._version, document=document)
         base = self._version - 1
         self._operate(lambda operator, now: operator.change(order, base, False, now))
@@ -71,7 +78,7 @@
 
     def invalid(self) -> Order:
         """Send a change that names an unknown service."""
-        document = json.loads(_document(self._version + 1, self._routes))
+        document = json.loads(self._document(self._version + 1, self._routes))
         document["routes"][0]["service"] = "nobody"
         order = Order("change", self._version + 1, document=json.dumps(document).encode())
         self._operate(lambda operator, now: operator.change(order, self._version, False, now))
@@ -156,11 +163,12 @@
 
     def set_rate(self, region: str, factor: float) -> None:
         """Multiply the traffic of a region."""
-        self.process(f"client-{region}").reducer.rate_per_s = CLIENT_RATE_PER_S * factor
+        reducer = self.process(f"client-{region}").reducer
+        reducer.rate_per_s = self.shape.client_rate_per_s * factor
 
     def add_path(self, path: str) -> None:
         """Let clients use a further route."""
-        for region in sorted(set(ZONES.values())):
+        for region in self.shape.regions:
             self.process(f"client-{region}").reducer.paths.append(path)
 
     # Inside ---------------------------------------------------------------
@@ -180,27 +188,55 @@
         entry.turn_cold(self.world.now)
         self.world.restart(entry.process)
 
+    def _forget_refused(self) -> None:
+        """Build on the newest version that was not refused, as an operator would."""
+        refused = {order.version for order in self.journal.orders if order.refused}
+        while self._version in refused:
+            self._version -= 1
+
+    def _document(self, version: int, routes: list[str]) -> bytes:
+        return _document(version, routes, self.shape.cold_rate_per_s)
+
     def _operate(self, action: Callable[[OperatorStandIn, float], list]) -> None:
         self.process("operator").act(action)
 
-    def _add_machines(self, number: int, zone: str, region: str) -> None:
-        core_ips = [f"10.{n}.0.1" for n in range(1, len(ZONES) + 1)]
-        seeds = tuple(f"{ip}:7000" for ip in core_ips)
-        members = dict(zip(self.cores, seeds, strict=True))
-        core = _node(f"core-{zone}", "core", zone, region, f"10.{number}.0.1", "8002", seeds)
+    def _core_ip(self, place: int) -> str:
+        """Return the IP address of a core: it shares a machine with a front of its zone."""
+        zone = self.shape.core_zones[place]
+        earlier = self.shape.core_zones[:place].count(zone)
+        return f"10.{self._zone_numbers[zone]}.0.{earlier + 1}"
+
+    def _seeds(self) -> tuple[str, ...]:
+        return tuple(f"{self._core_ip(place)}:7000" for place in range(SEEDS))
+
+    def _add_core(self, place: int, zone: str) -> None:
+        seeds = self._seeds()
+        members = dict(zip(self.cores[:SEEDS], seeds, strict=True))
+        region = self.shape.zones[zone]
+        ip = self._core_ip(place)
+        core = _node(self.cores[place], "core", zone, region, ip, "8002", seeds)
 
         def build_core(context):
-            settings = CoreSettings(core, members, self._first_start)
+            settings = CoreSettings(
+                core, members, self._first_start, minimum_copies=self.shape.minimum_copies
+            )
             return compose_gateway_core(settings, context, control_dialect())
 
-        place = Place(core.bind_ip, zone, region)
         self.world.add(
-            core.node_id, place, build_core, core.http_address, core.internal_address, True
+            core.node_id,
+            Place(ip, zone, region),
+            build_core,
+            core.http_address,
+            core.internal_address,
+            True,
         )
         self.world.http.listeners[core.http_address] = "operators"
-        for machine in range(1, FRONTS_A_ZONE + 1):
+
+    def _add_fronts(self, zone: str) -> None:
+        number, region = self._zone_numbers[zone], self.shape.zones[zone]
+        for machine in range(1, self.shape.fronts_a_zone + 1):
             ip = f"10.{number}.0.{machine}"
-            self._add_front(f"front-{zone}-{machine}", ip, zone, region, seeds)
+            self._add_front(f"front-{zone}-{machine}", ip, zone, region, self._seeds())
 
     def _add_front(
         self, name: str, ip: str, zone: str, region: str, seeds: tuple[str, ...]
@@ -219,14 +255,16 @@
         http.listeners[f"{ip}:8001"] = "directory"
         self.fronts.append(name)
 
-    def _add_replicas(self, number: int, zone: str, region: str) -> None:
-        for place in range(1, MODEL_REPLICAS_A_ZONE + 1):
+    def _add_replicas(self, zone: str) -> None:
+        number = self._zone_numbers[zone]
+        for place in range(1, self.shape.models_a_zone + 1):
             self._add_replica(f"model-{zone}-{place}", f"10.{number}.9.{place}", "model", zone, 40)
         self._add_replica(f"ledger-{zone}", f"10.{number}.8.1", "ledger", zone, 6)
 
     def _add_replica(self, name: str, ip: str, service: str, zone: str, slots: int) -> None:
         cold_s = MODEL_COLD_S if service == "model" else 0.0
-        entry = ReplicaEntry(name, f"{ip}:80", service, zone, ZONES[zone], slots, cold_s=cold_s)
+        region = self.shape.zones[zone]
+        entry = ReplicaEntry(name, f"{ip}:80", service, zone, region, slots, cold_s=cold_s)
         entry.process = self._add_stand_in(
             name, entry.address, zone, lambda context: ReplicaStandIn(entry, context, self.journal)
         )
@@ -236,37 +274,46 @@
         self._add_stand_in(
             "platform",
             LIST_ADDRESS,
-            "north-a",
+            next(iter(self.shape.zones)),
             lambda context: PlatformStandIn(lambda: self.replicas, context, self.journal),
         )
         directories = [f"{self.process(name).place.ip}:8001" for name in self.fronts]
-        for number, region in enumerate(sorted(set(ZONES.values())), start=1):
-            zone = next(zone for zone, place in ZONES.items() if place == region)
+        for number, region in enumerate(self.shape.regions, start=1):
+            zone = next(zone for zone, place in self.shape.zones.items() if place == region)
             near = [a for a in directories if self._region_of(a) == region]
             self._add_stand_in(
                 f"client-{region}",
                 f"10.100.0.{number}:80",
                 zone,
                 lambda context, r=region, z=zone, d=near: ClientStandIn(
-                    r, z, d, CLIENT_RATE_PER_S, context, self.journal
+                    r, z, d, self.shape.client_rate_per_s, context, self.journal
                 ),
             )
-        cores = [f"10.{n}.0.1:8002" for n in range(1, len(ZONES) + 1)]
+        cores = [f"{self._core_ip(place)}:8002" for place in range(len(self.cores))]
         self._add_stand_in(
             "operator",
             "10.100.0.9:80",
-            "north-a",
+            next(iter(self.shape.zones)),
             lambda context: OperatorStandIn(cores, context, self.journal),
         )
 
     def _region_of(self, address: str) -> str:
-        return list(ZONES.values())[int(address.split(".")[1]) - 1]
+        return list(self.shape.zones.values())[int(address.split(".")[1]) - 1]
 
     def _add_stand_in(self, name: str, address: str, zone: str, build) -> SimulatedProcess:
-        place = Place(address.split(":")[0], zone, ZONES[zone])
+        place = Place(address.split(":")[0], zone, self.shape.zones[zone])
         return self.world.add(name, place, build, address, true_clock=True)
 
 
+def _core_names(shape: SiteShape) -> list[str]:
+    """Return a name for each core: by its zone, and a number after the first of a zone."""
+    names = []
+    for place, zone in enumerate(shape.core_zones):
+        earlier = shape.core_zones[:place].count(zone)
+        names.append(f"core-{zone}" + (f"-{earlier + 1}" if earlier else ""))
+    return names
+
+
 def _node(
     name: str, role: str, zone: str, region: str, ip: str, port: str, seeds: tuple[str, ...]
 ) -> NodeSettings:
@@ -287,7 +334,7 @@
     )
 
 
-def _document(version: int, routes: list[str]) -> bytes:
+def _document(version: int, routes: list[str], cold_rate_per_s: float) -> bytes:
     items = [
         {
             "name": name,
@@ -308,7 +355,7 @@
             "name": "model",
             "health_path": "/health",
             "max_connections": 100,
-            "cold_requests_per_s": COLD_RATE_PER_S,
+            "cold_requests_per_s": cold_rate_per_s,
             "engine": {"slots": 40, "key_value_tokens": 200000},
         },
         {"name": "ledger", "health_path": "/health", "max_connections": 100},
--- a/tests/test_gateway_site.py
+++ b/tests/test_gateway_site.py
@@ -58,6 +58,9 @@
     def test_zone_returns_cold(self) -> None:
         self.check("zone_returns_cold")
 
+    def test_random_day(self) -> None:
+        self.check("random_day")
+
     def test_a_replica_that_turns_cold_unseen_gets_a_trickle_too(self) -> None:
         self.assertEqual(run_gateway_scenario("traffic_moves", 20).broken, {})
 
