--- a/rooklug_lab/gateway/journal.py
+++ b/rooklug_lab/gateway/journal.py
@@ -12,6 +12,16 @@
     zone: str
     at: float
     cold: bool
+    region: str = ""
+
+
+@attrs.frozen
+class Arrival:
+    """A request has reached a replica, which may yet reject it."""
+
+    request_id: str
+    service: str
+    at: float
 
 
 @attrs.define
@@ -70,6 +80,7 @@
     """Everything that was seen in one run. Times are the world's."""
 
     runs: list[Run] = attrs.field(factory=list)
+    arrivals: list[Arrival] = attrs.field(factory=list)
     attempts: list[Attempt] = attrs.field(factory=list)
     orders: list[Order] = attrs.field(factory=list)
     leaving: list[Leaving] = attrs.field(factory=list)
--- a/rooklug_lab/gateway/random_day.py
+++ b/rooklug_lab/gateway/random_day.py
@@ -12,7 +12,7 @@
 import attrs
 
 from rooklug_lab.gateway.journal import Order
-from rooklug_lab.gateway.replicas import ReplicaEntry
+from rooklug_lab.gateway.replicas import Conduct, ReplicaEntry
 from rooklug_lab.gateway.site import GatewaySite
 
 LAST_MOMENT_S = 9.0
@@ -34,6 +34,10 @@
     def begin(self) -> None:
         """Draw the day."""
         self.disks_left = self.site.shape.tolerance
+        homes = [f"home-{region}" for region in self.site.shape.regions]
+        order = self.site.change(["again", *homes])
+        for name in ("again", *homes):
+            self._later(IN_USE_AFTER_S, lambda path=f"/{name}/1": self._use(order, path))
         troubles = self._troubles()
         for _ in range(self.random.randint(FEWEST, MOST)):
             self._later(self.random.uniform(0.0, LAST_MOMENT_S), self.random.choice(troubles))
@@ -54,6 +58,7 @@
             self.stall_disk,
             self.jump_clocks,
             self.crash_replica,
+            self.replica_lies,
             self.replica_leaves,
             self.replicas_turn_cold,
             self.evacuate,
@@ -129,6 +134,11 @@
         entry = self._replica()
         self.site.crash_replica(entry, self._pause(), dark=self.random.random() < 0.5)
 
+    def replica_lies(self) -> None:
+        """Let a replica fail, reject or say nothing while it is listed as sound."""
+        conduct = self.random.choice([Conduct.FAILS, Conduct.REJECTS, Conduct.SILENT])
+        self.site.misbehave(self._replica(), conduct, self._pause())
+
     def replica_leaves(self) -> None:
         """Announce that a replica leaves, in time or at short notice."""
         self.site.drain(self._replica(), after_s=self.random.choice([1.0, 6.0]))
--- a/rooklug_lab/gateway/scenarios.py
+++ b/rooklug_lab/gateway/scenarios.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from functools import partial
 from random import Random
 
 import attrs
@@ -12,6 +13,7 @@
 from rooklug_lab.gateway.journal import Journal
 from rooklug_lab.gateway.oracles import judge
 from rooklug_lab.gateway.random_day import random_day
+from rooklug_lab.gateway.replicas import Conduct
 from rooklug_lab.gateway.shape import FIXED_SHAPE, drawn_shape
 from rooklug_lab.gateway.site import GatewaySite
 
@@ -117,6 +119,26 @@
     site.world.scheduler.after(14.0, lambda: site.set_rate("south", 1.0))
 
 
+def replicas_lie(site: GatewaySite, random: Random) -> None:
+    """Replicas that are listed as sound fail, reject and say nothing, by turns.
+
+    Some requests may be repeated, and some are bound to a region.
+    """
+    homes = [f"home-{region}" for region in site.shape.regions]
+    site.change(["again", *homes])
+    for name in ("again", *homes):
+        site.world.scheduler.after(3.5, lambda path=f"/{name}/1": site.add_path(path))
+    models = [entry for entry in site.replicas if entry.service == "model"]
+    ledgers = [entry for entry in site.replicas if entry.service == "ledger"]
+    liars = [*random.sample(models, 2), *random.sample(ledgers, 2)]
+    for entry in liars:
+        for begin_s in (4.0, 8.0, 12.0):
+            conduct = random.choice([Conduct.FAILS, Conduct.REJECTS, Conduct.SILENT])
+            begin_s += random.uniform(0.0, 1.5)
+            action = partial(site.misbehave, entry, conduct, random.uniform(0.5, 2.5))
+            site.world.scheduler.after(begin_s, action)
+
+
 SCENARIOS: dict[str, Scenario] = {
     scenario.__name__: scenario
     for scenario in (
@@ -128,6 +150,7 @@
         configurations_storm,
         traffic_moves,
         zone_returns_cold,
+        replicas_lie,
         random_day,
     )
 }
--- a/tests/test_gateway_site.py
+++ b/tests/test_gateway_site.py
@@ -18,7 +18,7 @@
 from rooklug.gateway.view import GatewayView
 from rooklug.gateway.view_keeper import GatewayViewKeeper
 from rooklug_lab.cli import build_parser
-from rooklug_lab.gateway.journal import Attempt, Disturbance, Journal, Order, Run
+from rooklug_lab.gateway.journal import Arrival, Attempt, Disturbance, Journal, Order, Run
 from rooklug_lab.gateway.oracles import ORACLES, judge
 from rooklug_lab.gateway.scenarios import SCENARIOS, run_gateway_scenario
 
@@ -58,6 +58,9 @@
     def test_zone_returns_cold(self) -> None:
         self.check("zone_returns_cold")
 
+    def test_replicas_lie(self) -> None:
+        self.check("replicas_lie")
+
     def test_random_day(self) -> None:
         self.check("random_day")
 
@@ -132,6 +135,9 @@
     def test_emptied_zones_are_left_out(self) -> None:
         self.caught("emptied_get_nothing", "replicas_fail", GatewayView, "usable", _every_replica)
 
+    def test_home_regions_are_kept(self) -> None:
+        self.caught("stays_home", "replicas_lie", GatewayView, "usable", _every_replica)
+
     def test_cold_replicas_are_spared(self) -> None:
         always = lambda *_: True  # noqa: E731
         replaced = (ColdGate, "may_send", always)
@@ -167,6 +173,22 @@
         run = Run("a", "r-1", "north-a", 1.0, False)
         self.assertIn("asked_by_a_client", self.broken(runs=[run]))
 
+    def test_too_many_repeats_in_a_window(self) -> None:
+        def arrivals(repeats: int) -> list[Arrival]:
+            first = [Arrival(f"a{n}", "ledger", 1.0) for n in range(20)]
+            return first + [Arrival(f"a{n}", "ledger", 2.0) for n in range(repeats)]
+
+        self.assertNotIn("repeats_within_budget", self.broken(arrivals=arrivals(12)))
+        self.assertIn("repeats_within_budget", self.broken(arrivals=arrivals(13)))
+
+    def test_a_repeat_too_many(self) -> None:
+        attempt = Attempt("a", "north", "/again/1", False, 1.0)
+        runs = [Run("a", f"r-{n}", "north-a", 1.0, False) for n in range(3)]
+        found = self.broken(attempts=[attempt], runs=runs[:2])
+        self.assertFalse({"runs_once", "repeats_within_limits"} & found)
+        found = self.broken(attempts=[attempt], runs=runs)
+        self.assertIn("repeats_within_limits", found)
+
     def test_a_lost_change(self) -> None:
         old, new = (
             Order("change", v, document=json.dumps({"version": v}).encode(), taken_at=1.0 + v)
