--- /dev/null
+++ b/tests/platform_site.py
@@ -0,0 +1,198 @@
+"""One core, one front, a replica and the platform's list on real loopback sockets, in one loop."""
+
+import asyncio
+import contextlib
+import json
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+from tornado import httputil
+from tornado.httpserver import HTTPServer
+
+from rooklug.runtime.host import Host
+from tests.core_storm import free_address
+
+ROOT = Path(__file__).resolve().parent.parent
+if str(ROOT / "platform") not in sys.path:
+    sys.path.insert(0, str(ROOT / "platform"))
+
+from adapter import main, settings  # noqa: E402
+
+HOST = "h.example"
+HOST_IP = "127.0.0.1"
+SERVED_WITHIN_S = 20.0
+REPLICA_ID = "i-1"
+SIGNATURE = "sig.1"
+
+
+def route(name: str, **fields: Any) -> dict[str, Any]:
+    """Return a route of the platform's document for the one service."""
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": f"/{name}/",
+        "kind": "non_idempotent",
+        "timeout_ms": 2000,
+        "target_latency_ms": 200,
+        "priority": 1,
+        "service": "s",
+        "attempts": 1,
+        "home_regions": [],
+        **fields,
+    }
+
+
+def document(version: int, routes: list[dict[str, Any]]) -> dict[str, Any]:
+    """Return a whole configuration."""
+    service = {
+        "name": "s",
+        "health_check_path": "/health",
+        "connection_limit": 640,
+        "cold_start_s": 0.0,
+        "cold_per_s": 0.0,
+    }
+    return {"version": version, "routes": routes, "services": [service], "limits": {}}
+
+
+def _two_free_ports() -> int:
+    """Return the first of two neighbouring ports that nobody uses."""
+    while True:
+        with socket.socket() as first, socket.socket() as second:
+            first.bind((HOST_IP, 0))
+            port = first.getsockname()[1]
+            with contextlib.suppress(OSError, OverflowError):
+                second.bind((HOST_IP, port + 1))
+                return port
+
+
+class Recorder:
+    """A replica that answers everything, and the platform's list with just this replica."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.request_ids: list[str] = []
+
+    def handle(self, request: httputil.HTTPServerRequest) -> None:
+        """Answer a request of a front, or of the core that reads the list."""
+        if request.path == "/instances":
+            self._answer(request, self._listing(), {})
+            return
+        request_id = request.headers.get("X-Request-Id", "")
+        self.request_ids.append(request_id)
+        headers = {"X-Request-Id": request_id, "X-Response-Signature": SIGNATURE}
+        self._answer(request, b"ran " + request.body, headers)
+
+    def _listing(self) -> bytes:
+        entry = {
+            "identifier": REPLICA_ID,
+            "service": "s",
+            "address": self.address,
+            "zone": "a",
+            "slots": 6,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+        }
+        return json.dumps({"instances": [entry], "next_page_token": None}).encode()
+
+    def _answer(
+        self, request: httputil.HTTPServerRequest, body: bytes, headers: dict[str, str]
+    ) -> None:
+        head = httputil.HTTPHeaders({**headers, "Content-Length": str(len(body))})
+        line = httputil.ResponseStartLine("HTTP/1.1", 200, "OK")
+        request.connection.write_headers(line, head, body)
+        request.connection.finish()
+
+
+class PlatformSite:
+    """Starts everything; ``addresses`` maps each port's purpose to its address."""
+
+    def __init__(self) -> None:
+        self.addresses = {
+            name: free_address() for name in ("front", "ready", "directory", "control", "replica")
+        }
+        self.recorder = Recorder(self.addresses["replica"])
+        self.hosts: list[Host] = []
+
+    async def start(self) -> None:
+        """Start the hosts, and bring the first configuration until it is taken."""
+        self._server = HTTPServer(self.recorder.handle)
+        self._server.listen(int(self.addresses["replica"].rpartition(":")[2]), HOST_IP)
+        node = self._settings(_two_free_ports())
+        self.hosts = [main.core_host(node), main.front_host(node)]
+        for host in self.hosts:
+            await host.start()
+        await self.change(document(1, [route("pay")]))
+        await self._until_served()
+
+    async def stop(self) -> None:
+        """End the hosts and the stand-in."""
+        for host in self.hosts:
+            host.kill()
+            await host.stopped()
+        self._server.stop()
+        await self._server.close_all_connections()
+
+    async def change(self, body: dict[str, Any]) -> None:
+        """Send a configuration until it is acknowledged."""
+        data = json.dumps(body).encode()
+        head = f"X-Base-Version: {body['version'] - 1}\r\n"
+        async with asyncio.timeout(SERVED_WITHIN_S):
+            while True:
+                answer = await self.post("control", "/api/configuration/replace", data, head)
+                if answer.startswith(b"HTTP/1.1 200"):
+                    return
+
+    async def post(self, port: str, path: str, body: bytes = b"", head: str = "") -> bytes:
+        """Send one request on a connection of its own; return the whole answer."""
+        request = (
+            f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nConnection: close\r\n{head}"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        return await self.raw(port, request.encode() + body)
+
+    async def raw(self, port: str, data: bytes, wait_s: float = 3.0, ends: bool = False) -> bytes:
+        """Send bytes; return what comes until the end, at most ``wait_s``.
+
+        ``ends``: tell the other side that nothing more follows.
+        """
+        ip, _, number = self.addresses[port].rpartition(":")
+        received = b""
+        reader, writer = await asyncio.open_connection(ip, int(number))
+        with contextlib.suppress(ConnectionError, TimeoutError):
+            async with asyncio.timeout(wait_s):
+                writer.write(data)
+                await writer.drain()
+                if ends:
+                    writer.write_eof()
+                while piece := await reader.read(65536):
+                    received += piece
+        writer.close()
+        return received
+
+    async def _until_served(self) -> None:
+        async with asyncio.timeout(SERVED_WITHIN_S):
+            while not (await self.pay("first")).startswith(b"HTTP/1.1 200"):
+                pass
+
+    async def pay(self, request_id: str) -> bytes:
+        """Send a proper request of a client."""
+        head = f"X-Request-Id: {request_id}\r\nX-Request-Deadline: 2000\r\n"
+        return await self.post("front", "/pay/1", b"body", head)
+
+    def _settings(self, first_port: int) -> settings.PlatformSettings:
+        lines = [
+            "node_name=front-a-1",
+            f"ip_address={HOST_IP}",
+            "zone=a",
+            "region=north",
+            "zones.a=north",
+            f"seed_nodes={self.addresses['control']}",
+            f"internal_ports={first_port},{first_port + 1}",
+            "first_start=true",
+            f"cloud.address={self.addresses['replica']}",
+            "bounds.grace_s=8",
+            *(f"listen_addresses.{name}={address}" for name, address in self.addresses.items()),
+        ]
+        return settings.read_settings("\n".join(lines)).ok
