--- a/rooklug_lab/gateway/site.py
+++ b/rooklug_lab/gateway/site.py
@@ -202,8 +202,9 @@
 
     def _forget_refused(self) -> None:
         """Build on the newest version that was not refused, as an operator would."""
-        refused = {order.version for order in self.journal.orders if order.refused}
-        while self._version in refused:
+        changes = [order for order in self.journal.orders if order.kind == "change"]
+        standing = {order.version for order in changes if not order.refused}
+        while self._version and self._version not in standing:
             self._version -= 1
 
     def _document(self, version: int, routes: list[str]) -> bytes:
