--- a/tests/controller_measure.py
+++ b/tests/controller_measure.py
@@ -18,7 +18,8 @@
     ProbeReport,
     ReplicaObservation,
 )
-from tests.controller_world import ALL_ROLES, FakeReplica, World, document
+from tests.controller_stand_ins import ALL_ROLES, FakeReplica
+from tests.controller_world import World, document
 from tests.test_controller_prober import PROBERS
 
 WARM_UP_S = 40.0
--- a/tests/test_controller_prober.py
+++ b/tests/test_controller_prober.py
@@ -18,7 +18,8 @@
     RoleOwner,
     VersionMark,
 )
-from tests.controller_world import ALL_ROLES, FakeReplica, World, fleet
+from tests.controller_stand_ins import ALL_ROLES, FakeReplica
+from tests.controller_world import World, fleet
 from tests.test_controller_watcher import JSON
 
 PROBERS = tuple(role for role in ALL_ROLES if role.startswith(topics.ROLE_PROBER_PREFIX))
--- a/tests/test_controller_watcher.py
+++ b/tests/test_controller_watcher.py
@@ -8,7 +8,8 @@
 
 from rooklug.controller.platform_listing import read_listing
 from rooklug.model import topics
-from tests.controller_world import PLATFORM, FakePlatform, World, fleet
+from tests.controller_stand_ins import PLATFORM, FakePlatform
+from tests.controller_world import World, fleet
 
 WATCHER = (topics.ROLE_PLATFORM_WATCHER,)
 JSON = st.recursive(
