--- a/tests/test_core_exploration.py
+++ b/tests/test_core_exploration.py
@@ -10,13 +10,13 @@
 from rooklug.core import witness_rules
 from rooklug.core.types import Promise, View, WitnessState
 from tests import core_exploration
-from tests.core_exploration import (
+from tests.core_exploration import explore
+from tests.core_exploration_states import (
     Budget,
     Exploration,
     InvariantBroken,
     Member,
     World,
-    explore,
     first_world,
     world_after_failover,
     world_after_half_view_change,
