--- a/tests/test_controller_fuzz.py
+++ b/tests/test_controller_fuzz.py
@@ -5,9 +5,9 @@
 from unittest.mock import patch
 
 from rooklug.model import topics
+from tests.controller_placing import seen_failing
 from tests.controller_stand_ins import ALL_ROLES
 from tests.controller_world import World, document, fleet
-from tests.test_controller_placer import seen_failing
 
 SEEDS = (*range(1, 11), 24, 168)
 STEPS = 40
--- a/tests/test_controller_mutations.py
+++ b/tests/test_controller_mutations.py
@@ -7,9 +7,9 @@
 from rooklug.controller.probe_schedule import FLEET_PROBE_BUDGET_PER_S
 from rooklug.model import topics
 from rooklug.wire.generated.control.ttypes import ProbeReport, ProbeResult, RoleGrant, VersionMark
+from tests.controller_placing import calls_after, seen_failing, settled_world
 from tests.controller_stand_ins import FakeReplica
 from tests.controller_world import World, document, fleet
-from tests.test_controller_placer import calls_after, seen_failing, settled_world
 from tests.test_controller_prober import ProberWorld
 
 
--- /dev/null
+++ b/tests/test_core_disks.py
@@ -0,0 +1,179 @@
+"""Cores whose disks are lost, stall, come back old or belong to somebody else."""
+
+import json
+import unittest
+from typing import Any
+from unittest import mock
+
+from rooklug.core.constants import QUIET_S, QUORUM_WAIT_S
+from rooklug.wire.generated.core import ttypes as wire
+from tests.core_cluster import CORE_IDS
+from tests.core_cluster_waits import http, in_sync, wait_back, wait_in_sync
+from tests.test_core_replication import ask, change, started
+
+
+class DiskTest(unittest.TestCase):
+    def test_slow_backup_is_dropped_and_the_change_taken(self) -> None:
+        cluster = started()
+        cluster.cores["core-c"].disk.stalled_until = cluster.now + 6.0
+        self.assertEqual(ask(cluster, "core-a", change(1, b"{}")).outcome, "accepted")
+        self.assertEqual(in_sync(cluster), ["core-a", "core-b"])
+        self.assertTrue(wait_in_sync(cluster, list(CORE_IDS)))
+
+    def test_primary_with_a_slow_disk_hands_over_before_its_lease_ends(self) -> None:
+        cluster = started()
+        cluster.cores["core-a"].disk.stalled_until = cluster.now + 10.0
+        began = cluster.now
+        answers: list[Any] = []
+        cluster.request("core-a", change(1, b"{}"), answers.append)
+        self.assertTrue(cluster.run(began + 10.0, lambda: bool(answers)))
+        self.assertEqual(answers[0].outcome, "unknown")
+        moved = cluster.run(
+            began + 10.0, lambda: cluster.primary() not in (None, cluster.cores["core-a"])
+        )
+        self.assertTrue(moved)
+        self.assertLess(cluster.now - began, 1.0 + QUIET_S)
+        again = ask(cluster, cluster.primary().core_id, change(1, b"{}"))
+        self.assertEqual(again.outcome, "accepted")
+
+    def test_lastingly_slow_disk_costs_few_view_changes(self) -> None:
+        for sync in ((0.15, 0.3), (0.4, 0.9), (1.5, 2.5)):
+            with self.subTest(sync=sync):
+                cluster = started()
+                cluster.crash("core-c")
+                self.assertTrue(wait_in_sync(cluster, ["core-a", "core-b"]))
+                cluster.cores["core-c"].disk.sync = sync
+                cluster.start("core-c")
+                slowest = 0.0
+                for version in range(1, 101):
+                    began = cluster.now
+                    answer = ask(cluster, "core-a", change(version, b"{%d}" % version))
+                    self.assertEqual(answer.outcome, "accepted")
+                    slowest = max(slowest, cluster.now - began)
+                    cluster.run(cluster.now + 0.5)
+                views = cluster.cores["core-a"].part.witness.state.promised_epoch // 3
+                self.assertLess(views, 10)
+                self.assertLess(slowest, QUORUM_WAIT_S)
+
+    def test_lost_disk_of_a_backup_is_copied_again(self) -> None:
+        cluster = started()
+        ask(cluster, "core-a", change(1, b"{}"))
+        cluster.crash("core-b")
+        cluster.lose_disk("core-b")
+        cluster.start("core-b")
+        self.assertTrue(wait_back(cluster, "core-b"))
+        disks = {d.disk_id for d in cluster.primary().part.leader.view.in_sync}
+        self.assertNotIn("disk-core-b:core-b-1", disks)
+        self.assertTrue(any(b"{}" in r for r in cluster.cores["core-b"].disk.files["control-log"]))
+
+    def test_copy_by_snapshot_in_parts(self) -> None:
+        small_file = mock.patch("rooklug.core.store.REWRITE_BYTES", 1500)
+        small_parts = mock.patch("rooklug.core.control_state.CHANGES_PER_PART", 3)
+        with small_file, small_parts:
+            cluster = started()
+            for version in range(1, 21):
+                ask(cluster, "core-a", change(version, b"{%d}" % version))
+            cluster.run(cluster.now + 1.0)
+            self.assertGreater(cluster.cores["core-a"].part.store.log.base.sequence, 0)
+            cluster.crash("core-b")
+            cluster.lose_disk("core-b")
+            cluster.start("core-b")
+            self.assertTrue(wait_back(cluster, "core-b"))
+            copy = cluster.cores["core-b"].part.store
+            self.assertGreater(copy.log.base.sequence, 0)
+            self.assertEqual(sorted(copy.state.changes), list(range(1, 21)))
+            cluster.crash("core-b")
+            cluster.start("core-b")
+            cluster.run(cluster.now + 1.0)
+            self.assertEqual(cluster.cores["core-b"].part.store.state.version, 20)
+
+    def test_two_blank_beside_one_with_data_start_nothing(self) -> None:
+        cluster = started()
+        ask(cluster, "core-a", change(1, b"{}"))
+        for core_id in CORE_IDS:
+            cluster.crash(core_id)
+        for core_id in ("core-a", "core-b"):
+            cluster.lose_disk(core_id)
+        cluster.start_all()
+        cluster.run(cluster.now + 30.0)
+        self.assertIsNone(cluster.primary())
+        for core_id in CORE_IDS:
+            self.assertIn("runbook recover", cluster.cores[core_id].recorder.status.note)
+
+    def test_recover_names_the_loss_and_acts_on_the_confirmed_plan_only(self) -> None:
+        cluster = started()
+        ask(cluster, "core-a", change(1, b"{}"))
+        for core_id in CORE_IDS:
+            cluster.crash(core_id)
+        for core_id in ("core-a", "core-b"):
+            cluster.lose_disk(core_id)
+        cluster.start_all()
+        cluster.run(cluster.now + 5.0)
+        self.assertEqual(ask(cluster, "core-a", wire.RecoverRequest("")).outcome, "refused")
+        planned = ask(cluster, "core-c", wire.RecoverRequest(""))
+        self.assertEqual(planned.outcome, "plan")
+        self.assertTrue(planned.may_be_lost)
+        wrong = ask(cluster, "core-c", wire.RecoverRequest(planned.plan + "!"))
+        self.assertEqual(wrong.outcome, "plan")
+        self.assertIsNone(cluster.primary())
+        done = ask(cluster, "core-c", wire.RecoverRequest(planned.plan))
+        self.assertEqual(done.outcome, "recovered")
+        self.assertTrue(wait_in_sync(cluster, list(CORE_IDS)))
+        again = ask(cluster, cluster.primary().core_id, change(1, b"{}"))
+        self.assertEqual((again.outcome, again.repeated), ("accepted", True))
+
+    def test_recover_and_status_by_http(self) -> None:
+        cluster = started()
+        for core_id in CORE_IDS:
+            cluster.crash(core_id)
+        for core_id in ("core-a", "core-b"):
+            cluster.lose_disk(core_id)
+        cluster.start_all()
+        cluster.run(cluster.now + 5.0)
+        status, document = http(cluster, "core-c", "GET", "/v1/core/status")
+        self.assertEqual((status, document["phase"]), (200, "backup"))
+        self.assertIn("runbook recover", document["note"])
+        for body in (b"", b"[]", b'{"plan":1}', b"[" * 100_000):
+            self.assertEqual(http(cluster, "core-c", "POST", "/v1/core/recover", body)[0], 400)
+        self.assertEqual(http(cluster, "core-c", "GET", "/v1/core/other")[0], 404)
+        ask_plan = b'{"plan":""}'
+        refused = http(cluster, "core-a", "POST", "/v1/core/recover", ask_plan)
+        self.assertEqual((refused[0], refused[1]["error"]["code"]), (409, "refused"))
+        planned = http(cluster, "core-c", "POST", "/v1/core/recover", ask_plan)[1]
+        self.assertTrue(planned["may_be_lost"])
+        confirmed = json.dumps({"plan": planned["plan"]}).encode()
+        done = http(cluster, "core-c", "POST", "/v1/core/recover", confirmed)
+        self.assertEqual((done[0], done[1]["outcome"]), (200, "recovered"))
+        self.assertTrue(wait_in_sync(cluster, list(CORE_IDS)))
+
+    def test_recover_isnt_needed_while_a_primary_works(self) -> None:
+        cluster = started()
+        cluster.run(cluster.now + 1.0)
+        for core_id in CORE_IDS:
+            answer = ask(cluster, core_id, wire.RecoverRequest(""))
+            self.assertEqual(answer.outcome, "not_needed")
+
+    def test_damaged_disk_is_not_in_sync_until_copied(self) -> None:
+        cluster = started()
+        ask(cluster, "core-a", change(1, b"{}"))
+        cluster.crash("core-c")
+        del cluster.cores["core-c"].disk.files["control-log"]
+        cluster.cores["core-c"].disk.problem = "damaged: control-log"
+        cluster.start("core-c")
+        self.assertTrue(wait_back(cluster, "core-c"))
+        disks = {d.disk_id for d in cluster.primary().part.leader.view.in_sync}
+        self.assertNotIn("disk-core-c:core-c-1", disks)
+
+    def test_log_with_a_gap_in_the_middle_is_not_in_sync_until_copied(self) -> None:
+        cluster = started()
+        for version in range(1, 4):
+            ask(cluster, "core-a", change(version, b"{%d}" % version))
+        cluster.run(cluster.now + 1.0)
+        cluster.crash("core-c")
+        del cluster.cores["core-c"].disk.files["control-log"][2]
+        cluster.start("core-c")
+        self.assertTrue(wait_back(cluster, "core-c"))
+        disks = {d.disk_id for d in cluster.primary().part.leader.view.in_sync}
+        self.assertNotIn("disk-core-c:core-c-1", disks)
+        log = cluster.cores["core-c"].part.store.log
+        self.assertEqual(log.last.sequence, 3)
--- a/tests/test_runbook_recover.py
+++ b/tests/test_runbook_recover.py
@@ -11,8 +11,8 @@
 from rooklug.runbooks.runner import Operator, RunbookRunner
 from rooklug.runbooks.site import Site
 from tests.core_cluster import CORE_IDS
+from tests.core_cluster_waits import http, wait_in_sync
 from tests.test_core_replication import ask, change, started
-from tests.test_core_scenarios import http, wait_in_sync
 
 RUNBOOK = "recover-cores"
 
