--- a/rooklug_lab/hollow/desk.py
+++ b/rooklug_lab/hollow/figures_endpoint.py
@@ -12,10 +12,10 @@
 STANDING_PATH = "/lab/standing"
 
 
-class Desk(PartDefaults):
+class FiguresEndpoint(PartDefaults):
     """Gives the lab the figures of all nodes of its process, or a short summary of them."""
 
-    name = "desk"
+    name = "figures"
 
     def __init__(
         self, figures: Callable[[], dict[str, Any]], standing: Callable[[], dict[str, Any]]
--- a/rooklug_lab/hollow/fleet.py
+++ b/rooklug_lab/hollow/fleet.py
@@ -14,7 +14,7 @@
 from rooklug_lab.fleet.client import FleetClient, wait_until
 from rooklug_lab.fleet.processes import ManagedProcess
 from rooklug_lab.fleet.settings_files import core_toml, node_toml
-from rooklug_lab.hollow.desk import FIGURES_PATH, STANDING_PATH
+from rooklug_lab.hollow.figures_endpoint import FIGURES_PATH, STANDING_PATH
 from rooklug_lab.hollow.metrics_text import read_metrics
 from rooklug_lab.hollow.process import FRONTS, REPLICAS, HollowSpec
 from rooklug_lab.hollow.site import HollowSite
--- a/rooklug_lab/hollow/process.py
+++ b/rooklug_lab/hollow/process.py
@@ -13,7 +13,7 @@
 from rooklug.runtime.host import Host
 from rooklug.runtime.process_figures import resident_bytes
 from rooklug_lab.hollow.demand import route_table
-from rooklug_lab.hollow.desk import Desk
+from rooklug_lab.hollow.figures_endpoint import FiguresEndpoint
 from rooklug_lab.hollow.front import FrontTraffic, HollowFront, build_hollow_front
 from rooklug_lab.hollow.sharing import SharedViews, share_decoding
 from rooklug_lab.hollow.site import HollowSite, build_site
@@ -101,7 +101,7 @@
         nodes = [_front_figures(*pair) for pair in zip(fronts, hosts, strict=True)]
         return {**_process_figures(), "shared_s": shared.seconds, "nodes": nodes}
 
-    return [*hosts, _desk_host(spec, site, Desk(figures, lambda: _standing(fronts)))]
+    return [*hosts, _desk_host(spec, site, FiguresEndpoint(figures, lambda: _standing(fronts)))]
 
 
 def _standing(fronts: list[HollowFront]) -> dict:
@@ -156,7 +156,7 @@
         counts = {"probes": probes, "orders": orders, "loaded": loaded}
         return {**_process_figures(), **counts}
 
-    return [*hosts, _desk_host(spec, site, Desk(figures, dict))]
+    return [*hosts, _desk_host(spec, site, FiguresEndpoint(figures, dict))]
 
 
 def _process_figures() -> dict:
@@ -167,7 +167,7 @@
     }
 
 
-def _desk_host(spec: HollowSpec, site: HollowSite, desk: Desk) -> Host:
+def _desk_host(spec: HollowSpec, site: HollowSite, desk: FiguresEndpoint) -> Host:
     return Host(
         desk,
         listen_internal="",
