--- a/tests/core_member_exploration.py
+++ b/tests/core_member_exploration.py
@@ -15,6 +15,7 @@
 from rooklug.core import quorum, witness_rules
 from rooklug.core.constants import FIRST_EPOCH
 from rooklug.core.types import CoreMember, MemberDisk, Position, Promise, View, WitnessState
+from tests.core_exploration_states import Accept
 
 CORES = ("a", "b", "c", "d")
 START = Position(0, 0)
@@ -37,13 +38,6 @@
     promise: Promise
 
 
-@attrs.frozen(cache_hash=True)
-class Accept:
-    proposer: MemberDisk
-    view: View
-    voters: tuple[MemberDisk, ...]
-
-
 @attrs.frozen(cache_hash=True)
 class Accepted:
     view: View
