A request that its address denies spends the retry budget, and an old list is doubted

Ruled out: repeats after real runs (the other paths count them). Change: a passage counts arrivals beside sends; a repeat after any arrival needs the budget and spends it. A replica that was denied is gone for good (an identifier names one start), and a second denial in a zone makes the other entries of that zone doubtful until they answer or the list changes: a request that was denied is refused at once when only doubtful ones are left. The stand-ins: a rejected arrival is an arrival, and the list keeps an ended replica for 3 s, also beside its successor.

--- a/rooklug/gateway/decision.py
+++ b/rooklug/gateway/decision.py
@@ -7,6 +7,7 @@
 from rooklug.front.outcomes import AttemptOutcome
 from rooklug.gateway.cold_gate import ColdGate
 from rooklug.gateway.document import Route, Service
+from rooklug.gateway.list_doubt import ListDoubt
 from rooklug.gateway.prefix_table import PrefixTable
 from rooklug.gateway.read_rate import ReadRate
 from rooklug.gateway.replica_cost import CostModel, rank_of
@@ -17,6 +18,8 @@
 
 RETRY_AFTER_COLD_S = 0.5
 RETRY_AFTER_NO_REPLICA_S = 1.0
+RETRY_AFTER_OLD_LIST_S = 1.0
+"""The list of replicas is read about as often."""
 
 
 @attrs.frozen
@@ -49,6 +52,7 @@
     view: GatewayView = attrs.field(factory=GatewayView)
     loads: dict[str, ReplicaLoad] = attrs.field(factory=dict)
     prefixes: PrefixTable = attrs.field(factory=PrefixTable)
+    doubt: ListDoubt = attrs.field(factory=ListDoubt)
     read_rate: ReadRate = attrs.field(factory=ReadRate)
 
     def service_for(self, request: PassedRequest, route: Route) -> Service:
@@ -75,10 +79,14 @@
         usable = [
             replica
             for replica in self.view.usable(service.name, route.home_regions)
-            if replica.replica_id not in tried
+            if replica.replica_id not in tried and not self.doubt.is_gone(replica.replica_id)
         ]
         if not usable:
             return Refuse("no replica", RETRY_AFTER_NO_REPLICA_S)
+        sure = [r for r in usable if not self.doubt.is_doubtful(r.replica_id, r.zone)]
+        if not sure and tried:
+            return Refuse("the list is old", RETRY_AFTER_OLD_LIST_S)
+        usable = sure or usable
         healthy = [replica for replica in usable if not self._is_ejected(replica, now)]
         healthy = [r for r in healthy if not self._load(r).is_silent(now)] or healthy
         open_ones = [replica for replica in healthy if self._may_send(replica, service, now)]
@@ -115,6 +123,7 @@
 
     def heard(self, call_id: int, replica: GatewayReplica, now: float) -> None:
         """Note bytes of an answer."""
+        self.doubt.prove(replica.replica_id)
         self._load(replica).heard(call_id, now)
         self.read_rate.heard(call_id, now)
 
@@ -126,10 +135,15 @@
         load.ended(call_id, now)
         self.read_rate.ended(call_id)
         if outcome is AttemptOutcome.SUCCESS:
+            self.doubt.prove(replica.replica_id)
             load.health.succeeded()
         elif outcome is not None:
             load.health.failed(outcome, now, self.random)
 
+    def denied(self, replica: GatewayReplica) -> None:
+        """Note that a replica's address answered as another replica."""
+        self.doubt.disprove(replica.replica_id, replica.zone)
+
     def take_view(self, view: GatewayView) -> None:
         """Go on under a newer snapshot."""
         self.view = view
@@ -140,6 +154,7 @@
         self.cold_gate.forget_except(listed)
         self.pace.forget_except(listed)
         self.prefixes.forget_except(listed)
+        self.doubt.take_list(listed)
 
     def _region_levels(
         self, request: PassedRequest, route: Route, service: Service
--- a/rooklug/gateway/executor.py
+++ b/rooklug/gateway/executor.py
@@ -180,12 +180,13 @@
         if isinstance(verdict, Refuse):
             return self._give_up(passage, now, verdict.retry_after_s)
         replica = verdict.replica
-        if passage.sends:
+        if passage.arrivals:
             self._budget(passage).count_repeat(now)
             self.figures.repeated += 1
         passage.replica = replica
         passage.tried.add(replica.replica_id)
         passage.sends += 1
+        passage.arrivals += 1
         passage.call_id = self._identifiers.next()
         self._by_call[passage.call_id] = passage
         self._decision.sent(passage.call_id, passage.request, replica, passage.service, now)
@@ -242,6 +243,7 @@
             return self._respond(passage, status, headers, body)
         if status == 421:  # the address is another replica's by now
             passage.sends -= 1
+            self._decision.denied(passage.replica)
         return self._try_again(passage, now)
 
     def _started(self, event: ev.HttpResponseStarted, now: float) -> list[fx.Effect]:
@@ -314,8 +316,11 @@
         if event.send_state is ev.SendState.NOT_SENT:
             self._ended_at_replica(passage, AttemptOutcome.CONNECT_FAILED, now)
             passage.sends -= 1  # it reached no replica
+            passage.arrivals -= 1
             if len(passage.tried) >= MAX_UNSENT_TRIES:
                 return self._give_up(passage, now, RETRY_AFTER_FULL_S)
+            if passage.arrivals:
+                return self._try_again(passage, now)
             return self._send(passage, now)
         timed_out = passage.left_s(now) <= LEAST_TIME_TO_SEND_S
         unanswered = event.send_state is ev.SendState.MAYBE_SENT
--- a/rooklug/gateway/passage.py
+++ b/rooklug/gateway/passage.py
@@ -20,8 +20,10 @@
 class Passage:
     """State of one request. Times are monotonic.
 
-    ``sends`` counts the times it was sent to a replica, ``may_have_run`` is False only while
-    every replica it was sent to has said that it did not run it. ``tried`` are replica ids.
+    ``sends`` counts the times it was sent to a replica that may run it, and ``arrivals`` the
+    times it was sent to any, also one that rejects it because its address has changed hands:
+    those spend the retry budget, too. ``may_have_run`` is False only while every replica it was
+    sent to has said that it did not run it. ``tried`` are replica ids.
     """
 
     request: PassedRequest
@@ -33,6 +35,7 @@
     replica: GatewayReplica | None = None
     call_id: int = 0
     sends: int = 0
+    arrivals: int = 0
     may_have_run: bool = False
     tried: set[str] = attrs.field(factory=set)
     status: int = 0
--- a/rooklug_lab/gateway/replicas.py
+++ b/rooklug_lab/gateway/replicas.py
@@ -13,6 +13,8 @@
 from rooklug_lab.gateway.journal import Arrival, Journal, Leaving, Run
 from rooklug_lab.sim.process import SimulatedProcess
 
+ENDED_LISTED_S = 3.0
+"""A replica that has ended stays on the list for so long, also beside its successor."""
 LIST_LAG_S = 0.8
 EVENTS = 12
 FIRST_EVENT_S = 0.15
@@ -83,9 +85,9 @@
     def _arrived(self, event: ev.HttpRequestArrived, now: float) -> list[fx.Effect]:
         request_id = event.headers[NAMES.request_id]
         headers = {NAMES.request_id: request_id}
+        self._journal.arrivals.append(Arrival(request_id, self._entry.service, now))
         if event.headers.get(NAMES.expected_replica, self._replica_id) != self._replica_id:
             return [fx.HttpRespond(event.request_id, 421, b"", headers)]
-        self._journal.arrivals.append(Arrival(request_id, self._entry.service, now))
         rejects = self._entry.conduct is Conduct.REJECTS
         if rejects or len(self._running) >= self._entry.slots:
             headers[NAMES.not_executed] = "1"
@@ -146,6 +148,7 @@
         self._entries = entries
         self._journal = journal
         self._history: list[tuple[float, list[dict]]] = []
+        self._alive_at: dict[str, tuple[float, dict]] = {}
         self._shown: set[str] = set()
         self.calls = 0
 
@@ -165,7 +168,7 @@
         return []
 
     def _note(self, now: float) -> list[fx.Effect]:
-        self._history.append((now, [_listed(entry, now) for entry in self._entries()]))
+        self._history.append((now, self._present(now)))
         old = now - LIST_LAG_S
         while len(self._history) > 1 and self._history[1][0] <= old:
             self._history.pop(0)
@@ -175,6 +178,18 @@
                 self._journal.leaving.append(Leaving(listed["replica_id"], now))
         return [fx.StartTimer("note", 0.1)]
 
+    def _present(self, now: float) -> list[dict]:
+        """Return the replicas that run, and those that have ended a moment ago."""
+        for entry in self._entries():
+            if entry.process.running:
+                self._alive_at[entry.replica_id] = (now, _listed(entry, now))
+        self._alive_at = {
+            replica_id: (at, listed)
+            for replica_id, (at, listed) in self._alive_at.items()
+            if now - at <= ENDED_LISTED_S
+        }
+        return [listed for _, listed in self._alive_at.values()]
+
     def _answer(self, now: float) -> bytes:
         return json.dumps({"replicas": self._history[0][1]}).encode()
 
--- a/rooklug_lab/gateway/scenarios.py
+++ b/rooklug_lab/gateway/scenarios.py
@@ -14,7 +14,7 @@
 from rooklug_lab.gateway.oracles import judge
 from rooklug_lab.gateway.random_day import random_day
 from rooklug_lab.gateway.replicas import Conduct
-from rooklug_lab.gateway.shape import FIXED_SHAPE, drawn_shape
+from rooklug_lab.gateway.shape import FIXED_SHAPE, WIDE_SHAPE, SiteShape, drawn_shape
 from rooklug_lab.gateway.site import GatewaySite
 
 WARM_UP_S = 6.0
@@ -119,6 +119,21 @@
     site.world.scheduler.after(14.0, lambda: site.set_rate("south", 1.0))
 
 
+def region_is_lost(site: GatewaySite, random: Random) -> None:
+    """A whole region loses power under load and returns, all of its replicas cold and renamed.
+
+    It strikes twice: the second time beside a control node that is cut off.
+    """
+    region = random.choice(site.shape.regions)
+    for other in site.shape.regions:
+        site.set_rate(other, 3.0)
+    site.world.scheduler.after(1.0, lambda: site.lose_region(region, random.uniform(1.5, 5.5)))
+    site.world.scheduler.after(9.0, lambda: site.cut([site.primary()], 3.0))
+    site.world.scheduler.after(9.5, lambda: site.lose_region(region, random.uniform(1.5, 3.5)))
+    for other in site.shape.regions:
+        site.world.scheduler.after(15.0, lambda place=other: site.set_rate(place, 1.0))
+
+
 def replicas_lie(site: GatewaySite, random: Random) -> None:
     """Replicas that are listed as sound fail, reject and say nothing, by turns.
 
@@ -150,6 +165,7 @@
         configurations_storm,
         traffic_moves,
         zone_returns_cold,
+        region_is_lost,
         replicas_lie,
         random_day,
     )
@@ -157,6 +173,8 @@
 
 DRAWN = frozenset({random_day.__name__})
 """Scenarios whose deployment is drawn, too."""
+WIDE = frozenset({region_is_lost.__name__})
+"""Scenarios that need a deployment which bears the loss of a region."""
 
 
 @attrs.frozen
@@ -170,8 +188,7 @@
 
 def run_gateway_scenario(name: str, seed: int) -> GatewayRun:
     """Run one scenario under one seed, and judge it."""
-    shape = drawn_shape(Random(seed)) if name in DRAWN else FIXED_SHAPE
-    site = GatewaySite(seed, shape)
+    site = GatewaySite(seed, _shape_for(name, seed))
     site.start()
     site.world.run_for(WARM_UP_S)
     SCENARIOS[name](site, Random(seed))
@@ -183,6 +200,12 @@
     return GatewayRun(site.journal, judge(site.journal, site.shape.cold_rate_per_s), served)
 
 
+def _shape_for(name: str, seed: int) -> SiteShape:
+    if name in DRAWN:
+        return drawn_shape(Random(seed))
+    return WIDE_SHAPE if name in WIDE else FIXED_SHAPE
+
+
 def _at(site: GatewaySite, random: Random, action: Callable[[], None]) -> None:
     site.world.scheduler.after(random.uniform(0.5, TROUBLE_S / 2), action)
 
--- a/rooklug_lab/gateway/shape.py
+++ b/rooklug_lab/gateway/shape.py
@@ -42,6 +42,20 @@
 FIXED_SHAPE = SiteShape(zones=FIXED_ZONES, core_zones=tuple(FIXED_ZONES))
 """Three cores, nine fronts, two regions: what most scenarios run on."""
 
+WIDE_ZONES = {
+    f"{region}-{letter}": region for letter in "ab" for region in ("north", "south", "west")
+}
+WIDE_SHAPE = SiteShape(
+    zones=WIDE_ZONES,
+    core_zones=tuple(WIDE_ZONES),
+    minimum_copies=3,
+    fronts_a_zone=5,
+    models_a_zone=4,
+    region_delay_s=0.055,
+    client_rate_per_s=30.0,
+)
+"""Six cores, thirty fronts, three regions, one of which may be lost."""
+
 
 def drawn_shape(random: Random) -> SiteShape:
     """Return a deployment that nobody has seen: one to three regions, three to seven cores."""
--- a/rooklug_lab/gateway/site.py
+++ b/rooklug_lab/gateway/site.py
@@ -129,6 +129,18 @@
         self._disturb("kill", for_s)
         self._later(for_s, lambda: [self._restart(name) for name in names])
 
+    def lose_region(self, region: str, for_s: float) -> None:
+        """Let all machines and replicas of a region lose power; they come back together."""
+        inside = [
+            name
+            for name in (*self.cores, *self.fronts)
+            if self.process(name).place.region == region
+        ]
+        self.kill(inside, for_s, power=True)
+        for entry in self.replicas:
+            if entry.region == region:
+                self.crash_replica(entry, for_s, dark=True)
+
     def crash_replica(self, entry: ReplicaEntry, for_s: float, dark: bool = False) -> None:
         """End a replica; it comes back cold under a new id."""
         (self.world.machine_fails if dark else self.world.kill)(entry.process)
--- a/tests/test_gateway_site.py
+++ b/tests/test_gateway_site.py
@@ -24,6 +24,8 @@
 
 SEEDS = (1, 2)
 LEAST_SERVED = 0.85
+LEAST_SERVED_WITHOUT_A_REGION = 0.75
+"""A third of the clients have no front for a fifth of the run."""
 
 
 class BadDays(unittest.TestCase):
@@ -58,6 +60,13 @@
     def test_zone_returns_cold(self) -> None:
         self.check("zone_returns_cold")
 
+    def test_region_is_lost(self) -> None:
+        for seed in (2, 3):
+            with self.subTest(seed=seed):
+                run = run_gateway_scenario("region_is_lost", seed)
+                self.assertEqual(run.broken, {})
+                self.assertGreater(run.served_share, LEAST_SERVED_WITHOUT_A_REGION)
+
     def test_replicas_lie(self) -> None:
         self.check("replicas_lie")
 
