--- a/rooklug/gateway/build.py
+++ b/rooklug/gateway/build.py
@@ -1,14 +1,20 @@
 """Composes a gateway front and a gateway core; imports are inside for the sake of memory."""
 
+from random import Random
+from typing import TYPE_CHECKING
+
 import attrs
 
 from rooklug.engine.composite import CompositeReducer
-from rooklug.engine.reducer import ProcessContext
-from rooklug.gateway.dialect import ControlDialect, EdgeDialect
+from rooklug.engine.reducer import Identifiers, ProcessContext
+from rooklug.gateway.dialect import ControlDialect, EdgeDialect, HeaderNames
 from rooklug.gateway.replica_pace import ColdBound
 from rooklug.gateway.retry_budget import RetryBudgetSettings
 from rooklug.model.settings import CoreSettings, NodeSettings
 
+if TYPE_CHECKING:
+    from rooklug.gateway.executor import GatewayExecutor
+
 
 @attrs.frozen
 class GatewayLimits:
@@ -20,27 +26,46 @@
     retry_budget: RetryBudgetSettings = attrs.field(factory=RetryBudgetSettings)
 
 
+def build_executor(
+    node_id: str,
+    region: str,
+    zone: str,
+    random: Random,
+    identifiers: Identifiers,
+    names: HeaderNames,
+    limits: GatewayLimits,
+) -> "GatewayExecutor":
+    """Return a front's executor with its decision object."""
+    from rooklug.gateway.cold_gate import ColdGate
+    from rooklug.gateway.decision import Decision
+    from rooklug.gateway.executor import GatewayExecutor
+    from rooklug.gateway.replica_pace import ReplicaPace
+
+    gate = ColdGate(node_id, int(limits.cold_bound.slack))
+    decision = Decision(region, zone, random, gate, ReplicaPace(limits.cold_bound))
+    return GatewayExecutor(decision, names, identifiers, limits.retry_budget, limits.grace_s)
+
+
 def compose_gateway_front(
     settings: NodeSettings, context: ProcessContext, dialect: EdgeDialect, limits: GatewayLimits
 ) -> CompositeReducer:
     """Return the reducer of a front that passes requests through."""
     from rooklug.distribution.core_link import CoreLink
-    from rooklug.gateway.cold_gate import ColdGate
-    from rooklug.gateway.decision import Decision
     from rooklug.gateway.demand import DemandReporter
     from rooklug.gateway.directory import Directory
-    from rooklug.gateway.executor import GatewayExecutor
     from rooklug.gateway.lifecycle import Lifecycle
-    from rooklug.gateway.replica_pace import ReplicaPace
     from rooklug.gateway.view_keeper import GatewayViewKeeper
 
     core_link = CoreLink(settings, context)
     keeper = GatewayViewKeeper()
-    gate = ColdGate(settings.node_id, int(limits.cold_bound.slack))
-    pace = ReplicaPace(limits.cold_bound)
-    decision = Decision(settings.region, settings.zone, context.random, gate, pace)
-    executor = GatewayExecutor(
-        decision, dialect.headers, context.identifiers, limits.retry_budget, limits.grace_s
+    executor = build_executor(
+        settings.node_id,
+        settings.region,
+        settings.zone,
+        context.random,
+        context.identifiers,
+        dialect.headers,
+        limits,
     )
     lifecycle = Lifecycle(core_link, executor.active, limits.grace_s)
     return CompositeReducer(
--- a/rooklug/gateway/decision.py
+++ b/rooklug/gateway/decision.py
@@ -240,10 +240,13 @@
         return load.running if load else 0
 
     def _load(self, replica: GatewayReplica) -> ReplicaLoad:
-        return self.loads.setdefault(replica.replica_id, ReplicaLoad())
+        load = self.loads.get(replica.replica_id)
+        if load is None:
+            load = self.loads[replica.replica_id] = ReplicaLoad()
+        return load
 
     def _front_ids(self) -> list[str]:
-        return [node.node_id for node in self.view.ready_fronts()]
+        return list(self.view.ready_front_ids)
 
     def _tie(self) -> float:
         return self.random.random()
--- a/rooklug/gateway/dialect.py
+++ b/rooklug/gateway/dialect.py
@@ -22,6 +22,7 @@
     model: str = "rooklug-model"
     priority: str = "rooklug-priority"
     resume_after: str = "last-event-id"
+    load: str = "rooklug-load"
 
 
 @attrs.frozen
--- a/rooklug/gateway/directory.py
+++ b/rooklug/gateway/directory.py
@@ -60,7 +60,7 @@
         return fx.HttpRespond(event.request_id, 503 if reason else 200, body, _JSON)
 
     def _addresses(self, question: WhereQuestion) -> list[str]:
-        fronts = self._keeper.view.ready_fronts()
+        fronts = self._keeper.view.ready_fronts
         if not fronts:
             return [self._own_address] if not self._lifecycle.reason_not_ready() else []
         view = self._keeper.view
--- a/rooklug/gateway/executor.py
+++ b/rooklug/gateway/executor.py
@@ -345,7 +345,7 @@
         return [fx.HttpStreamAbort(passage.request.http_id)]
 
     def _try_again(self, passage: Passage, now: float) -> list[fx.Effect]:
-        fronts = len(self._decision.view.ready_fronts())
+        fronts = len(self._decision.view.ready_fronts)
         budget = self._budget(passage)
         if passage.may_send_again() and budget.may_repeat(fronts, now):
             return self._send(passage, now)
@@ -385,7 +385,7 @@
         return self._decision.is_silent(passage.replica, now)
 
     def _move(self, passage: Passage, now: float) -> list[fx.Effect]:
-        fronts = len(self._decision.view.ready_fronts())
+        fronts = len(self._decision.view.ready_fronts)
         if not self._budget(passage).may_repeat(fronts, now):
             return []
         call_id = passage.call_id
--- a/rooklug/gateway/replica_pace.py
+++ b/rooklug/gateway/replica_pace.py
@@ -68,11 +68,10 @@
     bound: float, replica: GatewayReplica, region: str, view: GatewayView
 ) -> tuple[int, int]:
     """Return part and limit of a front of ``region`` at a replica, in requests a second."""
-    fronts = view.ready_fronts()
-    near = sum(node.region == replica.region for node in fronts)
+    near = view.ready_fronts_by_region[replica.region]
     if replica.region == region:
         return OWN_REGION.counts(bound, serving_count(near))
-    return OTHER_REGIONS.counts(bound, serving_count(len(fronts) - near))
+    return OTHER_REGIONS.counts(bound, serving_count(len(view.ready_fronts) - near))
 
 
 @attrs.define
--- a/rooklug/gateway/view.py
+++ b/rooklug/gateway/view.py
@@ -1,5 +1,8 @@
 """One immutable snapshot of what a front knows: configuration, replicas, zones, fronts, plan."""
 
+from collections import Counter
+from functools import cached_property
+
 import attrs
 
 from rooklug.gateway.document import GatewayConfiguration
@@ -70,9 +73,20 @@
         """Return the plan's cells for a region's traffic; empty without any."""
         return self.matrix.get((service, region, homes), ())
 
-    def ready_fronts(self) -> list[NodeRecord]:
-        """Return the fronts that take traffic."""
-        return [node for node in self.fronts if node.ready and not node.draining]
+    @cached_property
+    def ready_fronts(self) -> tuple[NodeRecord, ...]:
+        """The fronts that take traffic."""
+        return tuple(node for node in self.fronts if node.ready and not node.draining)
+
+    @cached_property
+    def ready_front_ids(self) -> tuple[str, ...]:
+        """Node ids of the fronts that take traffic."""
+        return tuple(node.node_id for node in self.ready_fronts)
+
+    @cached_property
+    def ready_fronts_by_region(self) -> Counter[str]:
+        """How many fronts of each region take traffic."""
+        return Counter(node.region for node in self.ready_fronts)
 
 
 def matrix_of(cells: list[RouteWeight]) -> dict[MatrixKey, tuple[RegionShare, ...]]:
--- /dev/null
+++ b/rooklug_lab/policy/clients.py
@@ -0,0 +1,222 @@
+"""Emulated clients: each request goes to a front of the directory's answer, and may come back."""
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from rooklug.engine import effects as fx
+from rooklug.engine import events as ev
+from rooklug.gateway.executor import LISTENER
+from rooklug.gateway.serving_fronts import serving_fronts
+from rooklug_lab.gateway.dialect import NAMES
+from rooklug_lab.policy.arrivals import ClientRequest
+from rooklug_lab.policy.credit import Outcome
+
+if TYPE_CHECKING:
+    from rooklug_lab.policy.fronts import EmulatedFront
+    from rooklug_lab.policy.world import PolicyWorld
+
+NEXT_ADDRESS_S = 0.01
+CONNECT_PATIENCE_S = 1.0
+PATIENCE_SHARE = 1 / 3
+"""Clients wait as they are told for at most this part of the time that they have left."""
+REFUSED_FAST_SHARE = 0.25
+DIRECTORY_AGE_S = 2.0
+MOST_ADDRESSES_TRIED = 3
+HOST_SUFFIX = ".example"
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """One attempt at a front."""
+
+    outcome: Outcome
+    request_id: str
+    sent_at: float
+    front: "EmulatedFront"
+    generation: int
+    status: int = 0
+    retry_after_s: float = 0.0
+    last_piece_at: float = 0.0
+
+
+@attrs.define(eq=False)
+class EmulatedClients:
+    """All clients. An HTTP id names an attempt at all fronts."""
+
+    world: "PolicyWorld"
+    outcomes: list[Outcome] = attrs.field(factory=list)
+    _attempts: dict[int, Attempt] = attrs.field(factory=dict)
+    _by_request_id: dict[str, Attempt] = attrs.field(factory=dict)
+    _directory: dict[tuple[str, str], tuple[float, list["EmulatedFront"]]] = attrs.field(
+        factory=dict
+    )
+    _next_id: int = 0
+
+    def begin(self, request: ClientRequest) -> None:
+        """Send a request for the first time."""
+        outcome = Outcome(request)
+        self.outcomes.append(outcome)
+        self._send(outcome)
+
+    def request_of(self, front: "EmulatedFront", effect: fx.HttpCall) -> ClientRequest:
+        """Return what a front's call to a replica is made for."""
+        return self._by_request_id[effect.headers[NAMES.request_id]].outcome.request
+
+    def outcome_of(self, request_id: str) -> Outcome:
+        """Return the outcome that an attempt belongs to."""
+        return self._by_request_id[request_id].outcome
+
+    def answered(self, front: "EmulatedFront", effect: fx.Effect) -> None:
+        """Carry an effect of a front to its client."""
+        attempt = self._attempts.get(getattr(effect, "request_id", 0))
+        if attempt is None:
+            return
+        delay_s = self._delay_s(attempt.outcome.request, front)
+        self.world.scheduler.after(delay_s, lambda: self._take(attempt, effect))
+
+    def front_ended(self, front: "EmulatedFront", dark: bool) -> None:
+        """Reset what ran at a front; a dark one says nothing."""
+        for http_id, attempt in list(self._attempts.items()):
+            if attempt.front is front and not dark:
+                self._later_failed(http_id, attempt)
+
+    # Sending ------------------------------------------------------------------
+
+    def _send(self, outcome: Outcome) -> None:
+        now = self.world.now
+        if now >= outcome.request.at + outcome.request.kind.deadline_s:
+            return
+        outcome.attempts += 1
+        outcome.attempt_at = now
+        self._connect(outcome, set())
+
+    def _connect(self, outcome: Outcome, failed: set[str]) -> None:
+        fronts = [f for f in self._fronts_for(outcome.request) if f.name not in failed]
+        if not fronts or len(failed) >= MOST_ADDRESSES_TRIED:
+            return
+        front = self.world.random.choice(fronts)
+        if not front.up:
+            wait_s = CONNECT_PATIENCE_S if front.dark else NEXT_ADDRESS_S
+            self.world.scheduler.after(
+                wait_s, lambda: self._connect(outcome, {*failed, front.name})
+            )
+            return
+        self._next_id += 1
+        http_id = self._next_id
+        request_id = f"{outcome.request.number}.{outcome.attempts}.{http_id}"
+        attempt = Attempt(outcome, request_id, self.world.now, front, front.generation)
+        self._attempts[http_id] = attempt
+        self._by_request_id[request_id] = attempt
+        delay_s = self._delay_s(outcome.request, front)
+        self.world.scheduler.after(delay_s, lambda: self._arrive(http_id, attempt))
+        self.world.scheduler.at(self._ends_at(outcome), lambda: self._leave(http_id, attempt))
+
+    def _arrive(self, http_id: int, attempt: Attempt) -> None:
+        front = attempt.front
+        if not front.up or front.generation != attempt.generation:
+            if not front.dark:
+                self._later_failed(http_id, attempt)
+            return
+        request = attempt.outcome.request
+        left_ms = int((self._ends_at(attempt.outcome) - attempt.sent_at) * 1000)
+        headers = {
+            "host": request.kind.name + HOST_SUFFIX,
+            NAMES.request_id: attempt.request_id,
+            NAMES.deadline_ms: str(left_ms),
+        }
+        if request.parts:
+            chain = ",".join(f"{part.part_id}:{part.tokens}" for part in request.parts)
+            every = self.world.tokens_per_event(request.kind)
+            headers[NAMES.prompt_parts] = chain
+            headers[NAMES.token_counts] = f"{request.prompt_tokens},{request.events * every}"
+        path = f"/{request.kind.name}/1"
+        event = ev.HttpRequestArrived(
+            http_id, "POST", path, {}, headers, b"", target=path, listener=LISTENER
+        )
+        front.deliver(event)
+
+    def _ends_at(self, outcome: Outcome) -> float:
+        return outcome.request.at + outcome.request.kind.deadline_s
+
+    def _leave(self, http_id: int, attempt: Attempt) -> None:
+        """Give up at the deadline."""
+        if self._attempts.pop(http_id, None) is not None:
+            attempt.front.deliver(ev.HttpRequestClosed(http_id))
+
+    # Answers ------------------------------------------------------------------
+
+    def _take(self, attempt: Attempt, effect: fx.Effect) -> None:
+        http_id = effect.request_id
+        if self._attempts.get(http_id) is not attempt:
+            return
+        outcome, now = attempt.outcome, self.world.now
+        match effect:
+            case fx.HttpStreamPiece():
+                self._piece(attempt, now)
+            case fx.HttpStreamEnd():
+                del self._attempts[http_id]
+                outcome.complete = True
+            case fx.HttpStreamAbort():
+                del self._attempts[http_id]
+                self._failed(attempt)
+            case fx.HttpRespond():
+                del self._attempts[http_id]
+                self._responded(attempt, effect, now)
+
+    def _piece(self, attempt: Attempt, now: float) -> None:
+        if not attempt.last_piece_at:
+            attempt.outcome.first_at = now
+        attempt.last_piece_at = now
+
+    def _responded(self, attempt: Attempt, effect: fx.HttpRespond, now: float) -> None:
+        outcome = attempt.outcome
+        if 200 <= effect.status < 300:
+            outcome.first_at = now
+            outcome.complete = True
+        elif effect.status == 503:
+            self._refused(attempt, float(effect.headers.get("retry-after", "0.1")), now)
+        else:
+            self._failed(attempt)
+
+    def _refused(self, attempt: Attempt, retry_after_s: float, now: float) -> None:
+        outcome = attempt.outcome
+        kind = outcome.request.kind
+        outcome.refusals += 1
+        outcome.refused_fast = now - attempt.sent_at <= kind.objective_s * REFUSED_FAST_SHARE
+        left_s = self._ends_at(outcome) - now
+        if outcome.attempts <= kind.retries:
+            wait_s = min(retry_after_s, left_s * PATIENCE_SHARE)
+            self.world.scheduler.after(wait_s, lambda: self._send(outcome))
+
+    def _failed(self, attempt: Attempt) -> None:
+        outcome = attempt.outcome
+        kind = outcome.request.kind
+        if kind.resumable and outcome.attempts <= kind.retries:
+            self._send(outcome)
+
+    def _later_failed(self, http_id: int, attempt: Attempt) -> None:
+        self._attempts.pop(http_id, None)
+        delay_s = self._delay_s(attempt.outcome.request, attempt.front)
+        self.world.scheduler.after(delay_s, lambda: self._failed(attempt))
+
+    # Where to go --------------------------------------------------------------
+
+    def _fronts_for(self, request: ClientRequest) -> list["EmulatedFront"]:
+        key = (request.zone.region, request.kind.name)
+        known = self._directory.get(key)
+        if known is None or known[0] < self.world.now - DIRECTORY_AGE_S:
+            known = (self.world.now, self._ask_directory(request))
+            self._directory[key] = known
+        return known[1]
+
+    def _ask_directory(self, request: ClientRequest) -> list["EmulatedFront"]:
+        homes = request.kind.homes
+        fronts = self.world.control.view.ready_fronts
+        allowed = [node for node in fronts if not homes or node.region in homes] or fronts
+        near = [node for node in allowed if node.region == request.zone.region] or allowed
+        return [self.world.fronts[node.node_id] for node in serving_fronts(near, frozenset())]
+
+    def _delay_s(self, request: ClientRequest, front: "EmulatedFront") -> float:
+        network = self.world.network
+        return network.delays.client_s + network.delay_s(request.zone, front.zone)
--- /dev/null
+++ b/rooklug_lab/policy/control.py
@@ -0,0 +1,224 @@
+"""The control plane as fronts feel it: list, members and plan, each with its lag.
+
+The plan is made by the real planner; only the way that topics take is shortened to a delay.
+"""
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from rooklug.engine import effects as fx
+from rooklug.engine import events as ev
+from rooklug.engine.composite import Notify
+from rooklug.engine.reducer import Identifiers
+from rooklug.gateway.demand import REPORT_INTERVAL_S
+from rooklug.gateway.listing import READ_INTERVAL_S
+from rooklug.gateway.notices import ReplicasListed, ViewChanged
+from rooklug.gateway.region_planner import SOLVE_INTERVAL_S, RegionPlanner
+from rooklug.gateway.view import GatewayView
+from rooklug.gateway.view_keeper import GatewayViewKeeper
+from rooklug.model.notices import (
+    ConfigurationCommitted,
+    PrimaryStarted,
+    TopicChanged,
+    TopicOffered,
+    ZonesCommitted,
+)
+from rooklug.model.topics import CONFIGURATION, MEMBERS, PLAN, REPLICAS, ZONES
+from rooklug.wire.generated.control.ttypes import (
+    ConfigurationBody,
+    DemandEntry,
+    DemandReport,
+    ListedReplica,
+    MembersBody,
+    NodeRecord,
+    ReplicasBody,
+    VersionMark,
+    ZonesBody,
+)
+from rooklug_lab.policy.document import document_of
+
+if TYPE_CHECKING:
+    from rooklug_lab.policy.replicas import EmulatedReplica
+    from rooklug_lab.policy.world import PolicyWorld
+
+LIST_LAG_S = 0.8
+ENDED_LISTED_S = 3.0
+DISTRIBUTION_S = 0.1
+SOLVE_S = 0.1
+MEMBERS_STEP_S = 0.1
+LEASE_S = 1.6
+"""A front that was killed is still a member for so long."""
+START_S = 0.6
+"""A front that starts is ready after this time."""
+EPOCH = 1
+
+
+@attrs.define(eq=False)
+class EmulatedControl:
+    """Keeps one view for all fronts."""
+
+    world: "PolicyWorld"
+    keeper: GatewayViewKeeper = attrs.field(factory=GatewayViewKeeper)
+    planner: RegionPlanner = attrs.field(factory=lambda: RegionPlanner(Identifiers()))
+    emptied: set[str] = attrs.field(factory=set)
+    _counter: int = 0
+    _history: list[tuple[float, list[ListedReplica]]] = attrs.field(factory=list)
+    _ended: dict[str, tuple[float, ListedReplica]] = attrs.field(factory=dict)
+    _members: dict[str, tuple[bool, float]] = attrs.field(factory=dict)
+    _published_members: tuple[str, ...] | None = None
+    _published_list: tuple = ()
+
+    @property
+    def view(self) -> GatewayView:
+        """The newest snapshot."""
+        return self.keeper.view
+
+    def start(self) -> None:
+        """Bring the configuration, members and list at once, then follow what changes."""
+        document = document_of(self.world.site)
+        body = ConfigurationBody(1, "", document)
+        mark = VersionMark(EPOCH, 1)
+        self._plan(ConfigurationCommitted(mark, body))
+        self._change(CONFIGURATION, body)
+        self._plan(PrimaryStarted(EPOCH))
+        self._publish_members()
+        self._note_list()
+        self._read_list()
+        self._every(READ_INTERVAL_S, self._read_list)
+        self._every(0.1, self._note_list)
+        self._every(MEMBERS_STEP_S, self._publish_members)
+        self._every(REPORT_INTERVAL_S, self._report_demand)
+        self._every(SOLVE_INTERVAL_S, lambda: self._plan(ev.TimerFired("solve")))
+
+    def evacuate(self, zone: str, emptied: bool) -> None:
+        """Empty a zone, or take it back."""
+        (self.emptied.add if emptied else self.emptied.discard)(zone)
+        body = ZonesBody(sorted(self.emptied))
+        self._plan(ZonesCommitted(VersionMark(EPOCH, self._counter + 1), body))
+        self._change(ZONES, body)
+
+    def note_ended(self, replica: "EmulatedReplica") -> None:
+        """Keep a replica that has ended on the list for a while."""
+        self._ended[replica.replica_id] = (self.world.now, _listed(replica, self.world.now))
+
+    # Inside -------------------------------------------------------------------
+
+    def _every(self, interval_s: float, action) -> None:
+        def again() -> None:
+            action()
+            self.world.scheduler.after(interval_s, again)
+
+        self.world.scheduler.after(interval_s, again)
+
+    def _change(self, topic: str, body: object) -> None:
+        self._counter += 1
+        notice = TopicChanged(topic, VersionMark(EPOCH, self._counter), body)
+        self.keeper.handle(notice, self.world.now)
+        view = self.keeper.view
+        self.world.scheduler.after(DISTRIBUTION_S, lambda: self._spread(view))
+
+    def _spread(self, view: GatewayView) -> None:
+        for front in self.world.fronts.values():
+            front.deliver(ViewChanged(view))
+
+    def _plan(self, event: object) -> None:
+        for effect in self.planner.handle(event, self.world.now):
+            if isinstance(effect, fx.Compute):
+                result = effect.function(effect.argument)
+                done = ev.Computed(effect.ticket, result)
+                self.world.scheduler.after(SOLVE_S, lambda done=done: self._plan(done))
+            elif isinstance(effect, Notify) and isinstance(effect.notice, TopicOffered):
+                self._change(PLAN, effect.notice.body)
+
+    def _note_list(self) -> None:
+        now = self.world.now
+        listed = [_listed(replica, now) for replica in self.world.running_replicas()]
+        self._ended = {k: v for k, v in self._ended.items() if now - v[0] <= ENDED_LISTED_S}
+        listed += [entry for _, entry in self._ended.values()]
+        self._history.append((now, listed))
+        while len(self._history) > 1 and self._history[1][0] <= now - LIST_LAG_S:
+            self._history.pop(0)
+
+    def _read_list(self) -> None:
+        listed = sorted(self._history[0][1], key=lambda entry: entry.replica_id)
+        facts = tuple((e.replica_id, e.leaving, bool(e.cold_ms)) for e in listed)
+        if facts == self._published_list:
+            return
+        self._published_list = facts
+        body = ReplicasBody(listed)
+        self._plan(ReplicasListed(body))
+        self._change(REPLICAS, body)
+
+    def _publish_members(self) -> None:
+        now = self.world.now
+        for front in self.world.fronts.values():
+            known = self._members.get(front.name)
+            if known is None:
+                self._members[front.name] = (front.up, 0.0 - START_S)
+            elif known[0] != front.up:
+                self._members[front.name] = (front.up, now)
+        ready = []
+        for front in self.world.fronts.values():
+            up, since = self._members[front.name]
+            is_member = now - since >= START_S if up else now - since < LEASE_S
+            if is_member:
+                ready.append(front)
+        names = tuple(front.name for front in ready)
+        if names == self._published_members:
+            return
+        self._published_members = names
+        self._change(MEMBERS, MembersBody([_record(front) for front in ready], []))
+
+    def _report_demand(self) -> None:
+        for number, front in enumerate(self.world.fronts.values()):
+            if not front.up or not front.demand:
+                continue
+            taken, front.demand = front.demand, {}
+            report = DemandReport(
+                node_id=front.name,
+                node_incarnation=str(front.generation),
+                sequence=self._counter,
+                entries=[
+                    _entry(service, front.zone.region, counts)
+                    for service, counts in sorted(taken.items())
+                ],
+                observations=[],
+            )
+            self._plan(ev.CallArrived(number, front.name, report))
+
+
+def _entry(service: str, region: str, counts: list[float]) -> DemandEntry:
+    requests, prompt_tokens, answer_tokens = (count / REPORT_INTERVAL_S for count in counts)
+    return DemandEntry("", service, "", region, requests, prompt_tokens, answer_tokens, 0.0)
+
+
+def _record(front) -> NodeRecord:
+    return NodeRecord(
+        node_id=front.name,
+        role="front",
+        zone=front.zone.name,
+        region=front.zone.region,
+        internal_address=front.address,
+        http_address=front.address,
+        incarnation=str(front.generation),
+        ready=True,
+        draining=False,
+        configuration=VersionMark(EPOCH, 1),
+    )
+
+
+def _listed(replica: "EmulatedReplica", now: float) -> ListedReplica:
+    return ListedReplica(
+        replica_id=replica.replica_id,
+        address=replica.address,
+        kind="gateway",
+        backend=replica.service.name,
+        region=replica.zone.region,
+        zone=replica.zone.name,
+        resource=replica.service.name,
+        resource_units=1.0,
+        leaving=replica.leaving,
+        slots=replica.service.slots,
+        cold_ms=int(max(replica.cold_until - now, 0.0) * 1000),
+    )
--- /dev/null
+++ b/rooklug_lab/policy/credit.py
@@ -0,0 +1,147 @@
+"""What requests earn and what is deducted: the measures that a policy is judged by."""
+
+from collections import defaultdict
+
+import attrs
+
+from rooklug_lab.policy.arrivals import ClientRequest
+from rooklug_lab.policy.shapes import PolicySite
+
+WINDOW_S = 2.0
+LARGEST_CREDIT = 4.0
+SIZE_BASE, SIZE_SHARE = 0.3, 0.7
+_GIGABYTE = 1e9
+_THOUSAND = 1e3
+
+
+@attrs.define(eq=False)
+class Outcome:
+    """How one client's request went, over all of its attempts. Times are since the start."""
+
+    request: ClientRequest
+    attempts: int = 0
+    refusals: int = 0
+    attempt_at: float = 0.0
+    refused_fast: bool = False
+    first_at: float = 0.0
+    longest_gap_s: float = 0.0
+    complete: bool = False
+    way_s: float = 0.0
+    waiting_s: float = 0.0
+    reading_s: float = 0.0
+    tokens_again: int = 0
+    replica_region: str = ""
+
+    @property
+    def owed(self) -> float:
+        """The credit of this request."""
+        kind = self.request.kind
+        if not kind.is_stream:
+            return kind.worth
+        return kind.worth * min(SIZE_BASE + SIZE_SHARE * self.request.size, LARGEST_CREDIT)
+
+    @property
+    def first_s(self) -> float:
+        """The time to the first event, from the client's first attempt."""
+        return self.first_at - self.request.at
+
+    @property
+    def in_time(self) -> bool:
+        """Whether the answer came within its objective and without a long pause."""
+        return self.complete and self.first_s <= self.request.kind.objective_s and self._even
+
+    @property
+    def earned(self) -> float:
+        """The credit that was earned."""
+        if not self.complete:
+            return 0.0
+        late = self.owed * self.request.kind.late_share
+        if self.in_time:
+            return self.owed
+        again_s = self.first_at - self.attempt_at
+        if self.refused_fast and self._even and again_s <= self.request.kind.objective_s:
+            return (self.owed + late) / 2
+        return late
+
+    @property
+    def _even(self) -> bool:
+        gap_s = self.request.kind.gap_s
+        return not gap_s or self.longest_gap_s <= gap_s
+
+
+@attrs.define
+class Usage:
+    """What is priced beside the requests."""
+
+    tokens_read: int = 0
+    tokens_again: int = 0
+    bytes_between_zones: float = 0.0
+    bytes_between_regions: float = 0.0
+    connections: int = 0
+    arrivals: int = 0
+    repeats: int = 0
+    worst_cold_second: int = 0
+    preempted: int = 0
+
+
+@attrs.frozen
+class Verdict:
+    """The figures of a run; ``total`` leaves out what no policy changes."""
+
+    whole_day: float
+    worst_windows: float
+    worst_kind: float
+    prices: dict[str, float]
+    total: float
+    by_kind: dict[str, float]
+
+
+def judge(site: PolicySite, outcomes: list[Outcome], usage: Usage) -> Verdict:
+    """Return the figures of a finished run."""
+    owed = sum(outcome.owed for outcome in outcomes)
+    whole = _share(outcomes)
+    by_kind = {name: _share(found) for name, found in _by_class(outcomes).items()}
+    windows = sorted(_share(found) for found in _by_window(outcomes).values())
+    worst_windows = sum(windows[:2]) / max(len(windows[:2]), 1)
+    worst_kind = min(by_kind.values(), default=0.0)
+    prices = {name: price / owed for name, price in _prices(site, usage).items()}
+    goal = site.goal
+    credit = goal.whole_day * whole + goal.worst_windows * worst_windows
+    credit += goal.worst_kind * worst_kind
+    return Verdict(whole, worst_windows, worst_kind, prices, credit - sum(prices.values()), by_kind)
+
+
+def _share(outcomes: list[Outcome]) -> float:
+    owed = sum(outcome.owed for outcome in outcomes)
+    return sum(outcome.earned for outcome in outcomes) / owed if owed else 1.0
+
+
+def _by_class(outcomes: list[Outcome]) -> dict[str, list[Outcome]]:
+    """Return the outcomes by kind; the largest tenth and the fifth below count as kinds, too."""
+    found: dict[str, list[Outcome]] = defaultdict(list)
+    for outcome in outcomes:
+        found[outcome.request.kind.name].append(outcome)
+    for name, members in list(found.items()):
+        if members[0].request.kind.is_stream:
+            ranked = sorted(members, key=lambda outcome: -outcome.request.size)
+            tenth = max(len(ranked) // 10, 1)
+            found[f"{name}, largest"] = ranked[:tenth]
+            found[f"{name}, large"] = ranked[tenth : 3 * tenth]
+    return found
+
+
+def _by_window(outcomes: list[Outcome]) -> dict[int, list[Outcome]]:
+    found: dict[int, list[Outcome]] = defaultdict(list)
+    for outcome in outcomes:
+        found[int(outcome.request.at // WINDOW_S)].append(outcome)
+    return found
+
+
+def _prices(site: PolicySite, usage: Usage) -> dict[str, float]:
+    prices = site.prices
+    return {
+        "read again": usage.tokens_again / _THOUSAND * prices.tokens_again_k,
+        "zones": usage.bytes_between_zones / _GIGABYTE * prices.gigabyte_between_zones,
+        "regions": usage.bytes_between_regions / _GIGABYTE * prices.gigabyte_between_regions,
+        "connections": usage.connections * prices.connection,
+    }
--- /dev/null
+++ b/rooklug_lab/policy/experiment.py
@@ -0,0 +1,81 @@
+"""Runs days over many seeds in processes of their own, and compares two variants pair by pair."""
+
+import math
+import statistics
+from collections.abc import Iterable, Iterator
+from multiprocessing import get_context
+
+import attrs
+
+from rooklug_lab.policy.credit import Usage, Verdict
+from rooklug_lab.policy.settings import Setting
+from rooklug_lab.policy.shapes import read_site
+from rooklug_lab.policy.world import PolicyWorld
+
+NOISE_ERRORS = 2.0
+"""A difference within so many standard errors of 0 is noise."""
+
+
+@attrs.frozen
+class Case:
+    """One day to be played: site, day, seed, the factor of its load, and changed constants."""
+
+    site: str
+    day: str
+    seed: int
+    load: float = 1.0
+    settings: tuple[Setting, ...] = ()
+
+    @property
+    def label(self) -> str:
+        """Site, day and seed."""
+        return f"{self.site} {self.day} {self.seed}"
+
+
+@attrs.frozen
+class Played:
+    """The result of a case."""
+
+    case: Case
+    verdict: Verdict
+    usage: Usage
+    requests: int
+    served: int
+
+
+@attrs.frozen
+class Difference:
+    """The mean difference over pairs, in parts of a day's worth, and its standard error."""
+
+    mean: float
+    error: float
+    pairs: int
+
+    @property
+    def verdict(self) -> str:
+        """Say whether it is better, worse, or noise."""
+        if self.pairs < 2 or abs(self.mean) <= NOISE_ERRORS * self.error:
+            return "noise"
+        return "better" if self.mean > 0 else "worse"
+
+
+def play(case: Case) -> Played:
+    """Play one case in this process."""
+    for setting in case.settings:
+        setting.apply()
+    world = PolicyWorld(read_site(case.site), case.day, case.seed, case.load)
+    verdict = world.run()
+    served = sum(outcome.complete for outcome in world.outcomes)
+    return Played(case, verdict, world.usage, len(world.outcomes), served)
+
+
+def play_all(cases: Iterable[Case], workers: int) -> Iterator[Played]:
+    """Play cases side by side, each in a new process: settings must not outlive their case."""
+    with get_context("spawn").Pool(workers, maxtasksperchild=1) as pool:
+        yield from pool.imap(play, list(cases), chunksize=1)
+
+
+def difference(values: list[float]) -> Difference:
+    """Return the mean of paired differences with its standard error."""
+    error = statistics.stdev(values) / math.sqrt(len(values)) if len(values) > 1 else math.nan
+    return Difference(statistics.mean(values), error, len(values))
--- /dev/null
+++ b/rooklug_lab/policy/faults.py
@@ -0,0 +1,75 @@
+"""Days of trouble for emulated deployments; each is a list of faults and their moments."""
+
+from collections.abc import Callable
+from random import Random
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from rooklug_lab.policy.world import PolicyWorld
+
+Day = Callable[["PolicyWorld", Random], None]
+
+
+def calm(world: "PolicyWorld", random: Random) -> None:
+    """Nothing goes wrong."""
+
+
+def replicas_crash(world: "PolicyWorld", random: Random) -> None:
+    """A sixth of the model replicas end, half of them silently, and come back cold."""
+    for replica in _sample(world, random, 1 / 6):
+        dark = random.random() < 0.5
+        at = random.uniform(6.0, 14.0)
+        world.at(at, lambda r=replica, d=dark: world.replica_ends(r.address, d, 4.5))
+
+
+def replicas_lie(world: "PolicyWorld", random: Random) -> None:
+    """Some replicas fail half of their requests, some take them and say nothing."""
+    for number, replica in enumerate(_sample(world, random, 0.14)):
+        conduct = {"hangs": True} if number % 2 else {"failing_share": 0.45}
+        world.at(8.0, lambda r=replica, c=conduct: world.misbehave(r.address, 6.5, **c))
+
+
+def region_is_lost(world: "PolicyWorld", random: Random) -> None:
+    """A region's machines and replicas lose power and return together."""
+    region = random.choice(sorted({zone.region for zone in world.site.zones}))
+    world.at(10.0, lambda: world.region_ends(region, 5.5))
+
+
+def zone_returns_cold(world: "PolicyWorld", random: Random) -> None:
+    """The replicas of a zone are down and come back together, cold; another zone is emptied."""
+    zones = [zone.name for zone in world.site.zones]
+    first, second = random.sample(zones, 2)
+    world.at(8.0, lambda: world.zone_replicas_end(first, 4.0))
+    world.at(18.0, lambda: world.control.evacuate(second, True))
+    world.at(25.0, lambda: world.control.evacuate(second, False))
+
+
+def fronts_are_killed(world: "PolicyWorld", random: Random) -> None:
+    """A sixth of the fronts are killed."""
+    names = sorted(world.fronts)
+    for name in random.sample(names, max(1, len(names) // 6)):
+        world.at(9.0, lambda n=name: world.front_ends(n, False, 3.5))
+
+
+def all_lose_power(world: "PolicyWorld", random: Random) -> None:
+    """Every front and replica loses power and returns."""
+    world.at(20.0, lambda: world.everything_ends(1.5))
+
+
+DAYS: dict[str, Day] = {
+    day.__name__: day
+    for day in (
+        calm,
+        replicas_crash,
+        replicas_lie,
+        region_is_lost,
+        zone_returns_cold,
+        fronts_are_killed,
+        all_lose_power,
+    )
+}
+
+
+def _sample(world: "PolicyWorld", random: Random, share: float) -> list:
+    models = [r for r in world.running_replicas() if r.engine is not None]
+    return random.sample(models, max(1, round(len(models) * share)))
--- /dev/null
+++ b/rooklug_lab/policy/fronts.py
@@ -0,0 +1,197 @@
+"""An emulated front: the real executor and decision object, with calls to emulated replicas."""
+
+from collections import defaultdict
+from collections.abc import Callable
+from random import Random
+from typing import TYPE_CHECKING
+
+import attrs
+
+from rooklug.engine import effects as fx
+from rooklug.engine import events as ev
+from rooklug.engine.composite import Notify
+from rooklug.engine.reducer import Identifiers
+from rooklug.gateway.executor import GatewayExecutor
+from rooklug.gateway.notices import RequestCounted, ViewChanged
+from rooklug_lab.policy.replicas import EmulatedReplica, Job
+from rooklug_lab.policy.shapes import ZoneShape
+
+if TYPE_CHECKING:
+    from rooklug_lab.policy.world import PolicyWorld
+
+HEAD_BYTES = 400
+PIECE_BYTES = 90
+HANDSHAKE_S = 0.001
+_EVENTS_OF_AN_ANSWER = (ev.HttpResponseEnded, ev.HttpAnswered, ev.HttpFailed)
+
+
+@attrs.define(eq=False)
+class OpenCall:
+    """A request on its way to a replica or being answered. ``replica`` None: not connected."""
+
+    effect: fx.HttpCall
+    address: str
+    job: Job | None = None
+    replica: EmulatedReplica | None = None
+
+
+@attrs.define(eq=False)
+class EmulatedFront:
+    """One process of a front. A restart makes its executor anew."""
+
+    name: str
+    address: str
+    zone: ZoneShape
+    world: "PolicyWorld"
+    build: Callable[[Random, Identifiers], GatewayExecutor]
+    up: bool = True
+    ready: bool = True
+    dark: bool = False
+    generation: int = 0
+    executor: GatewayExecutor | None = None
+    demand: dict[str, list[float]] = attrs.field(factory=dict)
+    _calls: dict[int, OpenCall] = attrs.field(factory=dict)
+    _idle: dict[str, int] = attrs.field(factory=lambda: defaultdict(int))
+
+    def start(self) -> None:
+        """Begin with nothing known."""
+        self.generation += 1
+        self.up = True
+        self.dark = False
+        self.demand = {}
+        self._calls = {}
+        self._idle = defaultdict(int)
+        identifiers = Identifiers()
+        self.executor = self.build(Random(f"{self.name}/{self.generation}"), identifiers)
+        self.executor.handle(ev.Started(), self.world.now)
+        self.deliver(ViewChanged(self.world.control.view))
+
+    def end(self, dark: bool) -> None:
+        """Stop at once; what ran at replicas is closed."""
+        self.up = False
+        self.ready = False
+        self.dark = dark
+        for call in list(self._calls.values()):
+            self._cancel(call)
+        self._calls = {}
+
+    def deliver(self, event: ev.Event) -> None:
+        """Give the executor an event and obey it."""
+        if not self.up:
+            return
+        for effect in self.executor.handle(event, self.world.now):
+            self._obey(effect)
+
+    def forget_connections(self, address: str) -> None:
+        """Drop the idle connections to an address: its process has ended."""
+        self._idle.pop(address, None)
+
+    def _obey(self, effect: fx.Effect) -> None:
+        match effect:
+            case fx.HttpCall():
+                self._call(effect)
+            case fx.CancelHttpCall():
+                call = self._calls.pop(effect.call_id, None)
+                if call is not None:
+                    self._cancel(call)
+            case fx.StartTimer():
+                self._later(effect.delay_s, ev.TimerFired(effect.name))
+            case Notify():
+                self._count(effect.notice)
+            case _:
+                self.world.clients.answered(self, effect)
+
+    def _count(self, notice: object) -> None:
+        if not isinstance(notice, RequestCounted):
+            return
+        counts = self.demand.setdefault(notice.service, [0, 0, 0])
+        counts[0] += 1
+        counts[1] += notice.request.prompt_tokens
+        counts[2] += notice.request.answer_tokens
+
+    def _later(self, delay_s: float, event: ev.Event) -> None:
+        generation = self.generation
+
+        def fire() -> None:
+            if generation == self.generation:
+                self.deliver(event)
+
+        self.world.scheduler.after(delay_s, fire)
+
+    # To a replica -------------------------------------------------------------
+
+    def _call(self, effect: fx.HttpCall) -> None:
+        request = self.world.clients.request_of(self, effect)
+        target = self.world.at_address(effect.address)
+        call = OpenCall(effect, effect.address)
+        key = f"{self.name}/{effect.call_id}"
+        call.job = Job(key, effect, request, lambda event: self._from_replica(call, event))
+        self._calls[effect.call_id] = call
+        delay_s = self.world.network.delay_s(self.zone, target.zone)
+        begin_s = 0.0
+        if self._idle[effect.address] > 0:
+            self._idle[effect.address] -= 1
+        elif not target.up:
+            wait_s = effect.connect_deadline_s if target.dark else 2 * delay_s
+            self._fail_later(wait_s, call, ev.SendState.NOT_SENT)
+            return
+        else:
+            begin_s = 2 * delay_s + HANDSHAKE_S
+            self.world.usage.connections += 1
+        self.world.scheduler.after(begin_s + delay_s, lambda: self._arrive(call))
+        self._fail_later(effect.deadline_s, call, ev.SendState.MAYBE_SENT)
+
+    def _fail_later(self, delay_s: float, call: OpenCall, state: ev.SendState) -> None:
+        """Fail a call after a time, unless it has ended by then."""
+        failed = ev.HttpFailed(call.effect.call_id, "no answer", state)
+
+        def fail() -> None:
+            if self._calls.get(call.effect.call_id) is call:
+                self._take(call, failed)
+
+        self.world.scheduler.after(delay_s, fail)
+
+    def _arrive(self, call: OpenCall) -> None:
+        if self._calls.get(call.effect.call_id) is not call:
+            return
+        target = self.world.at_address(call.address)
+        if not target.up:
+            if not target.dark:
+                event = ev.HttpFailed(call.effect.call_id, "reset", ev.SendState.MAYBE_SENT)
+                self._from_replica(call, event)
+            return
+        call.replica = target
+        self.world.count_arrival(call.job)
+        size = call.job.request.kind.request_bytes + HEAD_BYTES
+        self.world.network.carry(self.zone, target.zone, size)
+        target.arrive(call.job, self.world.random.random())
+
+    def _from_replica(self, call: OpenCall, event: ev.Event) -> None:
+        target = call.replica or self.world.at_address(call.address)
+        if isinstance(event, ev.HttpResponseStarted) and call.job.sequence is not None:
+            self.world.count_reading(call.job)
+        if isinstance(event, _EVENTS_OF_AN_ANSWER):
+            size = HEAD_BYTES + PIECE_BYTES * call.job.told_events
+            self.world.network.carry(target.zone, self.zone, size)
+            self.world.count_pauses(call.job)
+        delay_s = self.world.network.delay_s(target.zone, self.zone)
+        generation = self.generation
+
+        def arrive() -> None:
+            if generation == self.generation and self._calls.get(call.effect.call_id) is call:
+                self._take(call, event)
+
+        self.world.scheduler.after(delay_s, arrive)
+
+    def _take(self, call: OpenCall, event: ev.Event) -> None:
+        if isinstance(event, _EVENTS_OF_AN_ANSWER):
+            del self._calls[call.effect.call_id]
+            if isinstance(event, ev.HttpFailed):
+                self._cancel(call)
+            else:
+                self._idle[call.address] += 1
+        self.deliver(event)
+
+    def _cancel(self, call: OpenCall) -> None:
+        if call.replica is not None:
+            call.replica.cancel(call.job.key)
--- /dev/null
+++ b/rooklug_lab/policy/replicas.py
@@ -0,0 +1,228 @@
+"""Emulated replicas: model replicas with an engine, application replicas with places."""
+
+from collections import deque
+from collections.abc import Callable
+
+import attrs
+
+from rooklug.engine import events as ev
+from rooklug.engine.effects import HttpCall
+from rooklug_lab.gateway.dialect import NAMES
+from rooklug_lab.policy.arrivals import ClientRequest
+from rooklug_lab.policy.engine import Sequence, ServingEngine
+from rooklug_lab.policy.shapes import ServiceShape, ZoneShape
+from rooklug_lab.sim.scheduler import Scheduler
+
+PIECE_PAUSE_S = 0.2
+"""Events of a stream go on in bundles; only the first one is passed on by itself."""
+COLD_BREAK_FACTOR = 2.5
+"""A cold replica falls over at so many times the rate that it bears."""
+
+Deliver = Callable[[ev.Event], None]
+
+
+@attrs.define(eq=False)
+class Job:
+    """A request at a replica; ``deliver`` takes its answer to the front that sent it.
+
+    ``key`` tells the calls of all fronts apart.
+    """
+
+    key: str
+    call: HttpCall
+    request: ClientRequest
+    deliver: Deliver
+    sequence: Sequence | None = None
+    told_at: float = -1.0
+    told_events: int = 0
+    after_event: int = 0
+    missing_kept_elsewhere: int = 0
+
+
+@attrs.define(eq=False)
+class EmulatedReplica:
+    """One start of a replica. A restart makes a new one under another id."""
+
+    replica_id: str
+    address: str
+    service: ServiceShape
+    zone: ZoneShape
+    slowness: float
+    scheduler: Scheduler
+    cold_until: float = 0.0
+    leaving: bool = False
+    up: bool = True
+    dark: bool = False
+    failing_share: float = 0.0
+    hangs: bool = False
+    engine: ServingEngine | None = None
+    jobs: dict[str, Job] = attrs.field(factory=dict)
+    queue: deque[Job] = attrs.field(factory=deque)
+    running: int = 0
+    cold_arrivals: deque[float] = attrs.field(factory=deque)
+    on_fall: Callable[["EmulatedReplica"], None] = lambda replica: None
+    worst_cold_second: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Give a model replica its engine."""
+        if self.service.engine is not None:
+            self.engine = ServingEngine(self.service.engine, self.slowness)
+
+    def arrive(self, job: Job, draw: float) -> None:
+        """Take a request; ``draw`` in [0, 1) decides about failures that come by chance."""
+        if not self.up:
+            return
+        now = self.scheduler.now
+        if job.call.headers.get(NAMES.expected_replica, self.replica_id) != self.replica_id:
+            self._reject(job, 421)
+            return
+        if self._falls_over(now):
+            self.on_fall(self)
+            return
+        if self.hangs:
+            self.jobs[job.key] = job
+            return
+        if draw < self.failing_share:
+            self._answer(job, 500, {NAMES.signature: self.replica_id}, b"failed")
+            return
+        if self.engine is None:
+            self._take_work(job)
+        else:
+            self._take_prompt(job, now)
+
+    def cancel(self, key: str) -> None:
+        """End a request whose caller has closed the connection."""
+        job = self.jobs.pop(key, None)
+        if job is None:
+            return
+        if job.sequence is not None:
+            self.engine.cancel(job.sequence)
+        elif job in self.queue:
+            self.queue.remove(job)
+
+    def end(self, dark: bool) -> list[Job]:
+        """Stop at once; return what ran, for resets (none when it goes dark)."""
+        self.up, self.dark = False, dark
+        lost = list(self.jobs.values())
+        self.jobs.clear()
+        return [] if dark else lost
+
+    def is_cold(self, now: float) -> bool:
+        """Tell whether it bears only its cold rate."""
+        return now < self.cold_until
+
+    def _falls_over(self, now: float) -> bool:
+        rate = self.service.cold_rate_per_s
+        if not rate or not self.is_cold(now):
+            return False
+        self.cold_arrivals.append(now)
+        while self.cold_arrivals[0] <= now - 1.0:
+            self.cold_arrivals.popleft()
+        self.worst_cold_second = max(self.worst_cold_second, len(self.cold_arrivals))
+        return len(self.cold_arrivals) > COLD_BREAK_FACTOR * rate
+
+    # Model replicas -----------------------------------------------------------
+
+    def _take_prompt(self, job: Job, now: float) -> None:
+        request = job.request
+        if not self.engine.admits(request.prompt_tokens):
+            self._reject(job, 503)
+            return
+        done = int(job.call.headers.get(NAMES.resume_after, "0") or "0")
+        every = self.service.engine.tokens_per_event
+        job.sequence = Sequence(
+            key=job.key,
+            priority=int(job.call.headers.get(NAMES.priority, "5")),
+            parts=request.parts,
+            prompt_tokens=request.prompt_tokens + done * every,
+            answer_tokens=max(1, (request.events - done) * every),
+            arrived_at=now,
+        )
+        job.after_event = done
+        self.jobs[job.key] = job
+        self.engine.submit(job.sequence, now)
+        self._schedule()
+
+    def _schedule(self) -> None:
+        at = self.engine.next_at
+        self.scheduler.at(at, lambda: self._step_ends(at))
+
+    def _step_ends(self, at: float) -> None:
+        if not self.up or self.engine.next_at != at:
+            return
+        for sequence in self.engine.finish_step():
+            job = self.jobs.get(sequence.key)
+            if job is not None:
+                self._tell(job, at)
+        if self.engine.next_at < float("inf"):
+            self._schedule()
+
+    def _tell(self, job: Job, now: float) -> None:
+        sequence = job.sequence
+        call_id = job.call.call_id
+        if job.told_at < 0:
+            job.deliver(ev.HttpResponseStarted(call_id, 200, self._headers(job)))
+        elif not sequence.finished and now - job.told_at < PIECE_PAUSE_S:
+            return
+        if sequence.events > job.told_events:
+            job.told_at = now
+            job.told_events = sequence.events
+            number = job.after_event + sequence.events
+            job.deliver(ev.HttpBodyPiece(call_id, f"id: {number}\ndata: x\n\n".encode()))
+        if sequence.finished:
+            del self.jobs[job.key]
+            job.deliver(ev.HttpResponseEnded(call_id))
+
+    # Application replicas -----------------------------------------------------
+
+    def _take_work(self, job: Job) -> None:
+        if self.running >= self.service.slots:
+            if len(self.queue) >= self.service.queue:
+                self._reject(job, 503)
+                return
+            self.jobs[job.key] = job
+            self.queue.append(job)
+            return
+        self.jobs[job.key] = job
+        self._work(job)
+
+    def _work(self, job: Job) -> None:
+        self.running += 1
+        self.scheduler.after(job.request.work_s * self.slowness, lambda: self._worked(job))
+
+    def _worked(self, job: Job) -> None:
+        if not self.up:
+            return
+        self.running -= 1
+        if self.jobs.pop(job.key, None) is not None:
+            self._answer(job, 200, self._headers(job), b"done")
+        if self.queue:
+            self._work(self.queue.popleft())
+
+    # Answers ------------------------------------------------------------------
+
+    def _reject(self, job: Job, status: int) -> None:
+        self._answer(job, status, {NAMES.not_executed: "1"}, b"")
+
+    def _answer(self, job: Job, status: int, headers: dict[str, str], body: bytes) -> None:
+        call_id = job.call.call_id
+        headers = {**headers, NAMES.request_id: job.call.headers[NAMES.request_id]}
+        if not job.call.streaming:
+            job.deliver(ev.HttpAnswered(call_id, status, headers, body))
+            return
+        job.deliver(ev.HttpResponseStarted(call_id, status, headers))
+        job.deliver(ev.HttpResponseEnded(call_id))
+
+    def _headers(self, job: Job) -> dict[str, str]:
+        headers = {
+            NAMES.request_id: job.call.headers[NAMES.request_id],
+            NAMES.signature: self.replica_id,
+        }
+        if self.service.tells_load:
+            headers[NAMES.load] = self._load()
+        return headers
+
+    def _load(self) -> str:
+        if self.engine is None:
+            return f"{self.running},{len(self.queue)},{self.service.slots}"
+        return f"{self.engine.running},{len(self.engine.waiting)},{self.service.slots}"
--- /dev/null
+++ b/rooklug_lab/policy/settings.py
@@ -0,0 +1,57 @@
+"""Sets constants of the product for one experiment, by the names of their modules.
+
+An experiment names a constant as ``MODULE.NAME``, with ``rooklug.gateway.`` or
+``rooklug.routing.`` left out: ``serving_fronts.FRONTS_SHARE=0.1``.
+"""
+
+import ast
+import importlib
+from types import ModuleType
+
+import attrs
+
+PACKAGES = ("rooklug.routing", "rooklug.gateway")
+
+
+class SettingError(ValueError):
+    """A setting that can't be read or names nothing."""
+
+
+@attrs.frozen
+class Setting:
+    """A constant and the value that an experiment gives it."""
+
+    module: str
+    name: str
+    value: object
+
+    def apply(self) -> None:
+        """Give the constant its value in this process."""
+        setattr(_module(self.module), self.name, self.value)
+
+    def __str__(self) -> str:
+        return f"{self.module}.{self.name}={self.value!r}"
+
+
+def read_setting(text: str) -> Setting:
+    """Read ``MODULE.NAME=VALUE``; the value is a Python literal."""
+    place, equals, literal = text.partition("=")
+    module, dot, name = place.strip().rpartition(".")
+    if not equals or not dot:
+        raise SettingError(f"{text!r} is not MODULE.NAME=VALUE")
+    if not hasattr(_module(module), name):
+        raise SettingError(f"{module} has no {name}")
+    try:
+        value = ast.literal_eval(literal.strip())
+    except (ValueError, SyntaxError) as error:
+        raise SettingError(f"{literal!r} is not a literal") from error
+    return Setting(module, name, value)
+
+
+def _module(name: str) -> ModuleType:
+    for package in PACKAGES:
+        try:
+            return importlib.import_module(f"{package}.{name}")
+        except ModuleNotFoundError:
+            continue
+    raise SettingError(f"there is no module {name} in {' or '.join(PACKAGES)}")
--- /dev/null
+++ b/rooklug_lab/policy/world.py
@@ -0,0 +1,232 @@
+"""An emulated deployment in virtual time: fronts, replicas, clients and control."""
+
+from random import Random
+
+from rooklug.engine import events as ev
+from rooklug.engine.reducer import Identifiers
+from rooklug.gateway.build import GatewayLimits, build_executor
+from rooklug.gateway.executor import GatewayExecutor
+from rooklug.gateway.replica_pace import ColdBound
+from rooklug.gateway.retry_budget import RetryBudgetSettings
+from rooklug_lab.gateway.dialect import NAMES
+from rooklug_lab.policy.arrivals import ArrivalPlan
+from rooklug_lab.policy.clients import EmulatedClients
+from rooklug_lab.policy.control import EmulatedControl
+from rooklug_lab.policy.credit import Outcome, Usage, Verdict, judge
+from rooklug_lab.policy.faults import DAYS
+from rooklug_lab.policy.fronts import EmulatedFront
+from rooklug_lab.policy.network import PolicyNetwork
+from rooklug_lab.policy.replicas import EmulatedReplica, Job
+from rooklug_lab.policy.shapes import PolicySite, RequestKind, ServiceShape, ZoneShape
+from rooklug_lab.sim.scheduler import Scheduler
+
+AFTER_S = 6.0
+"""Requests that arrived last are awaited for so long."""
+
+
+class PolicyWorld:
+    """Runs one day. The same site, day and seed give the same run."""
+
+    def __init__(self, site: PolicySite, day: str, seed: int, load: float = 1.0) -> None:
+        self.site = site
+        self.scheduler = Scheduler()
+        self.random = Random(f"{seed}/world")
+        self.usage = Usage()
+        self.network = PolicyNetwork(site.delays, self.usage)
+        self.fronts: dict[str, EmulatedFront] = {}
+        self.clients = EmulatedClients(self)
+        self._replicas: dict[str, EmulatedReplica] = {}
+        self._starts = 0
+        self._used_at: dict[str, float] = {}
+        self._arrived: set[str] = set()
+        self._limits = GatewayLimits(
+            cold_bound=ColdBound(site.cold_overshoot, site.cold_slack),
+            retry_budget=RetryBudgetSettings(site.retry_ratio, 10.0, site.retry_slack),
+        )
+        self._build_replicas()
+        self._build_fronts()
+        self.control = EmulatedControl(self)
+        self.control.start()
+        for front in self.fronts.values():
+            front.start()
+        for request in ArrivalPlan(site, Random(f"{seed}/arrivals")).draw(load):
+            self.scheduler.at(request.at, lambda r=request: self.clients.begin(r))
+        DAYS[day](self, Random(f"{seed}/faults"))
+
+    @property
+    def now(self) -> float:
+        """Virtual time in seconds since the start of the traffic."""
+        return self.scheduler.now
+
+    def run(self) -> Verdict:
+        """Play the day to its end and judge it."""
+        self.scheduler.run_until(self.site.length_s + AFTER_S)
+        engines = [r.engine for r in self._replicas.values() if r.engine is not None]
+        self.usage.preempted += sum(engine.preempted for engine in engines)
+        self.usage.tokens_read += sum(engine.tokens_read for engine in engines)
+        self._note_cold(self._replicas.values())
+        return judge(self.site, self.clients.outcomes, self.usage)
+
+    @property
+    def outcomes(self) -> list[Outcome]:
+        """How each request went."""
+        return self.clients.outcomes
+
+    # What the parts ask -------------------------------------------------------
+
+    def at_address(self, address: str) -> EmulatedReplica:
+        """Return the replica at an address, running or not."""
+        return self._replicas[address]
+
+    def running_replicas(self) -> list[EmulatedReplica]:
+        """Return the replicas that run, by address."""
+        return [replica for replica in self._replicas.values() if replica.up]
+
+    def tokens_per_event(self, kind: RequestKind) -> int:
+        """Return how many tokens an event of a kind's streams holds."""
+        engine = self.site.service(kind.service).engine
+        return engine.tokens_per_event if engine else 0
+
+    def count_arrival(self, job: Job) -> None:
+        """Count a request that reaches a replica."""
+        self.usage.arrivals += 1
+        request_id = job.call.headers[NAMES.request_id]
+        self.usage.repeats += request_id in self._arrived
+        self._arrived.add(request_id)
+
+    def count_reading(self, job: Job) -> None:
+        """Take a request's times, and what was read though some replica had read it."""
+        sequence, now = job.sequence, self.now
+        outcome = self.clients.outcome_of(job.call.headers[NAMES.request_id])
+        outcome.waiting_s = sequence.began_at - sequence.arrived_at
+        outcome.reading_s = sequence.first_at - sequence.began_at
+        outcome.way_s = sequence.arrived_at - outcome.request.at
+        kept = sequence.kept_tokens
+        for part in sequence.parts[:-1]:
+            kept -= part.tokens
+            used_at = self._used_at.get(part.part_id, -self.site.prices.again_within_s)
+            if kept < 0 and now - used_at < self.site.prices.again_within_s:
+                self.usage.tokens_again += part.tokens
+                outcome.tokens_again += part.tokens
+            self._used_at[part.part_id] = now
+
+    def count_pauses(self, job: Job) -> None:
+        """Take the longest pause of a stream that has ended at its replica."""
+        if job.sequence is not None:
+            outcome = self.clients.outcome_of(job.call.headers[NAMES.request_id])
+            outcome.longest_gap_s = max(outcome.longest_gap_s, job.sequence.longest_gap_s)
+
+    # Faults -------------------------------------------------------------------
+
+    def at(self, moment_s: float, action) -> None:
+        """Do something at a moment."""
+        self.scheduler.at(moment_s, action)
+
+    def replica_ends(self, address: str, dark: bool, for_s: float) -> None:
+        """End a replica; its successor comes to the same address, cold."""
+        replica = self._replicas[address]
+        if not replica.up:
+            return
+        self.control.note_ended(replica)
+        self._note_cold([replica])
+        if replica.engine is not None:
+            self.usage.tokens_read += replica.engine.tokens_read
+        for job in replica.end(dark):
+            state = ev.SendState.RESPONDING if job.told_at >= 0 else ev.SendState.MAYBE_SENT
+            job.deliver(ev.HttpFailed(job.call.call_id, "reset", state))
+        for front in self.fronts.values():
+            front.forget_connections(address)
+        self.scheduler.after(for_s, lambda: self._restart_replica(replica))
+
+    def misbehave(self, address: str, for_s: float, **conduct: object) -> None:
+        """Let a replica fail or hang for a while."""
+        replica = self._replicas[address]
+        for name, value in conduct.items():
+            setattr(replica, name, value)
+
+        def mend() -> None:
+            replica.failing_share, replica.hangs = 0.0, False
+
+        self.scheduler.after(for_s, mend)
+
+    def front_ends(self, name: str, dark: bool, for_s: float) -> None:
+        """End a front; it starts again."""
+        front = self.fronts[name]
+        if not front.up:
+            return
+        front.end(dark)
+        self.clients.front_ended(front, dark)
+        self.scheduler.after(for_s, front.start)
+
+    def zone_replicas_end(self, zone: str, for_s: float) -> None:
+        """End all replicas of a zone."""
+        for replica in self.running_replicas():
+            if replica.zone.name == zone:
+                self.replica_ends(replica.address, False, for_s)
+
+    def region_ends(self, region: str, for_s: float) -> None:
+        """Let a region lose power."""
+        for front in self.fronts.values():
+            if front.zone.region == region:
+                self.front_ends(front.name, True, for_s)
+        for replica in self.running_replicas():
+            if replica.zone.region == region:
+                self.replica_ends(replica.address, True, for_s)
+
+    def everything_ends(self, for_s: float) -> None:
+        """Let everything lose power."""
+        for region in sorted({zone.region for zone in self.site.zones}):
+            self.region_ends(region, for_s)
+
+    # Building -----------------------------------------------------------------
+
+    def _build_replicas(self) -> None:
+        number = 0
+        for zone in self.site.zones:
+            for service_name, count in zone.replicas.items():
+                service = self.site.service(service_name)
+                for _ in range(count):
+                    number += 1
+                    slowness = service.speeds[number % len(service.speeds)]
+                    address = f"10.9.{number // 250}.{number % 250}:80"
+                    self._start_replica(address, service, zone, slowness, 0.0)
+
+    def _start_replica(
+        self,
+        address: str,
+        service: ServiceShape,
+        zone: ZoneShape,
+        slowness: float,
+        cold_until: float,
+    ) -> None:
+        self._starts += 1
+        replica_id = f"{service.name}-{self._starts}"
+        self._replicas[address] = EmulatedReplica(
+            replica_id, address, service, zone, slowness, self.scheduler, cold_until
+        )
+        self._replicas[address].on_fall = lambda r: self.replica_ends(r.address, False, 1.0)
+
+    def _restart_replica(self, ended: EmulatedReplica) -> None:
+        cold_until = self.now + ended.service.cold_s
+        self._start_replica(ended.address, ended.service, ended.zone, ended.slowness, cold_until)
+
+    def _build_fronts(self) -> None:
+        for number, zone in enumerate(self.site.zones, start=1):
+            for place in range(1, zone.fronts + 1):
+                name = f"front-{zone.name}-{place}"
+                address = f"10.{number}.0.{place}:80"
+                build = self._builder(name, zone)
+                self.fronts[name] = EmulatedFront(name, address, zone, self, build)
+
+    def _builder(self, name: str, zone: ZoneShape):
+        def build(random: Random, identifiers: Identifiers) -> GatewayExecutor:
+            return build_executor(
+                name, zone.region, zone.name, random, identifiers, NAMES, self._limits
+            )
+
+        return build
+
+    def _note_cold(self, replicas) -> None:
+        for replica in replicas:
+            worst = max(self.usage.worst_cold_second, replica.worst_cold_second)
+            self.usage.worst_cold_second = worst
