Shares in cold replicas come from the core's list of fronts alone; fronts that start get it at once

A front that did not find itself on the list added itself; a front that held no list at all counted two senders, and after a loss of power that lasted for a lease (3 s), in which all fronts served: a new primary publishes no members before every node could have renewed. Ruled out: the rate of each sender (the gate's own test holds at any number of fronts). Change: SendRights (rooklug/routing) tells from the list which fronts take each region's traffic. Only those send to a cold replica of that region; a front that isn't listed sends nothing to a cold one and one request a second to a warm one. Nodes that hold no list get an early one, of all that have announced themselves, 0.1 s after; nodes that hold one are not told before the grace is over.

--- a/rooklug/gateway/cold_gate.py
+++ b/rooklug/gateway/cold_gate.py
@@ -1,8 +1,9 @@
 """Keeps what all fronts together send to a cold replica under the rate that it bears.
 
-Each cold replica is served by a few fronts only, the same ones in every front's opinion. Each
-of those sends at its share of the rate, one request at a time: in any second all together
-send at most ``cold_rate_per_s`` and one request for each of those fronts.
+Only a few of the fronts that take the traffic of the replica's region send to it, the same ones
+in every front's opinion. Each of those sends at its share of the rate, one request at a time: in
+any second all together send at most ``cold_rate_per_s`` and one request for each of those fronts.
+A front that doesn't find itself among them sends nothing.
 """
 
 import math
@@ -11,11 +12,12 @@
 import xxhash
 
 DEFAULT_BURST_SLACK = 5
-# The platform counts one second; a little less than the rate covers delays that bunch up.
-RATE_SHARE = 0.8
+RATE_SHARE = 1.0
+"""Part of the rate that all fronts together send at. The bound allows half as much again and a few
+requests more, which covers delays that bunch up and lists of fronts that differ for a moment."""
 
 
-def chosen_fronts(replica_id: str, front_ids: list[str], count: int) -> list[str]:
+def chosen_fronts(replica_id: str, front_ids: tuple[str, ...], count: int) -> list[str]:
     """Return the fronts that may send to a cold replica: the highest by rendezvous hash."""
 
     def weight(front_id: str) -> int:
@@ -33,26 +35,30 @@
     _next_at: dict[str, float] = attrs.field(factory=dict)
 
     def may_send(
-        self, replica_id: str, rate_per_s: float, front_ids: list[str], now: float
+        self, replica_id: str, rate_per_s: float, senders: tuple[str, ...], now: float
     ) -> bool:
-        """Tell whether a request may go to a cold replica now."""
+        """Tell whether a request may go to a cold replica now.
+
+        ``senders`` are the fronts that take the traffic of the replica's region.
+        """
         if rate_per_s <= 0:
             return True
         if now < self._next_at.get(replica_id, -math.inf):
             return False
-        return self.front_id in self._senders(replica_id, front_ids)
+        return self.front_id in self._chosen(replica_id, senders)
 
-    def sent(self, replica_id: str, rate_per_s: float, front_ids: list[str], now: float) -> None:
+    def sent(
+        self, replica_id: str, rate_per_s: float, senders: tuple[str, ...], now: float
+    ) -> None:
         """Count a request that goes to a cold replica."""
         if rate_per_s <= 0:
             return
-        senders = max(len(self._senders(replica_id, front_ids)), 1)
-        self._next_at[replica_id] = now + senders / (rate_per_s * RATE_SHARE)
+        sharers = max(len(self._chosen(replica_id, senders)), 1)
+        self._next_at[replica_id] = now + sharers / (rate_per_s * RATE_SHARE)
 
     def forget_except(self, replica_ids: set[str]) -> None:
         """Drop what is kept of replicas that are gone."""
         self._next_at = {key: at for key, at in self._next_at.items() if key in replica_ids}
 
-    def _senders(self, replica_id: str, front_ids: list[str]) -> list[str]:
-        known = front_ids if self.front_id in front_ids else [*front_ids, self.front_id]
-        return chosen_fronts(replica_id, known, max(self.burst_slack, 1))
+    def _chosen(self, replica_id: str, senders: tuple[str, ...]) -> list[str]:
+        return chosen_fronts(replica_id, senders, max(self.burst_slack, 1))
--- a/rooklug/gateway/decision.py
+++ b/rooklug/gateway/decision.py
@@ -119,7 +119,8 @@
         if service.cold_rate_per_s > 0:
             self.pace.sent(replica.replica_id, now)
         if replica.is_cold(now):
-            self.cold_gate.sent(replica.replica_id, service.cold_rate_per_s, self._front_ids(), now)
+            senders = self.view.send_rights.senders(replica.region)
+            self.cold_gate.sent(replica.replica_id, service.cold_rate_per_s, senders, now)
 
     def heard(self, call_id: int, replica: GatewayReplica, now: float) -> None:
         """Note bytes of an answer."""
@@ -219,11 +220,13 @@
             return False
         if not replica.is_cold(now):
             return True
-        return self.cold_gate.may_send(replica.replica_id, rate_per_s, self._front_ids(), now)
+        senders = self.view.send_rights.senders(replica.region)
+        return self.cold_gate.may_send(replica.replica_id, rate_per_s, senders, now)
 
     def _room(self, replica: GatewayReplica, service: Service, now: float) -> Room:
         rate_per_s = service.cold_rate_per_s
-        return self.pace.room(replica, rate_per_s, self.region, self.view, now)
+        right = self.view.send_rights.towards(replica.region, self.cold_gate.front_id)
+        return self.pace.room(replica.replica_id, rate_per_s, right, now)
 
     def is_silent(self, replica: GatewayReplica, now: float) -> bool:
         """Tell whether a replica owes answers and says nothing at all."""
@@ -245,8 +248,5 @@
             load = self.loads[replica.replica_id] = ReplicaLoad()
         return load
 
-    def _front_ids(self) -> list[str]:
-        return list(self.view.ready_front_ids)
-
     def _tie(self) -> float:
         return self.random.random()
--- a/rooklug/gateway/replica_pace.py
+++ b/rooklug/gateway/replica_pace.py
@@ -13,8 +13,7 @@
 
 import attrs
 
-from rooklug.gateway.serving_fronts import serving_count
-from rooklug.gateway.view import GatewayReplica, GatewayView
+from rooklug.routing.send_rights import SendRight, Side
 
 WINDOW_S = 1.1
 """The bound's second and what requests may bunch up on their way."""
@@ -58,20 +57,20 @@
         return part, max(math.floor(bound * self.limit_share / fronts), self.least_limit)
 
 
-OWN_REGION = PaceShare(part_share=0.8, limit_share=1.0, least_part=2, least_limit=3)
-OTHER_REGIONS = PaceShare(part_share=0.2, limit_share=0.5, least_part=1, least_limit=2)
+SHARES = {
+    Side.OWN_REGION: PaceShare(part_share=0.8, limit_share=1.0, least_part=1, least_limit=2),
+    Side.OTHER_REGION: PaceShare(part_share=0.2, limit_share=0.5, least_part=1, least_limit=2),
+    Side.STANDBY: PaceShare(part_share=0.0, limit_share=0.0, least_part=1, least_limit=2),
+    Side.NONE: PaceShare(part_share=0.0, limit_share=0.0, least_part=1, least_limit=1),
+}
 """With many fronts the least counts add up to more than the bound; a replica then gets requests
-of all of them within one second only if all of them choose it."""
+of all of them within one second only if all of them choose it. A front without a share may have
+been given a client's request all the same: one a second."""
 
 
-def own_counts(
-    bound: float, replica: GatewayReplica, region: str, view: GatewayView
-) -> tuple[int, int]:
-    """Return part and limit of a front of ``region`` at a replica, in requests a second."""
-    near = view.ready_fronts_by_region[replica.region]
-    if replica.region == region:
-        return OWN_REGION.counts(bound, serving_count(near))
-    return OTHER_REGIONS.counts(bound, serving_count(len(view.ready_fronts) - near))
+def own_counts(bound: float, right: SendRight) -> tuple[int, int]:
+    """Return a front's part and limit at a replica, in requests a second."""
+    return SHARES[right.side].counts(bound, right.sharers)
 
 
 @attrs.define
@@ -83,17 +82,16 @@
 
     def room(
         self,
-        replica: GatewayReplica,
+        replica_id: str,
         rate_per_s: float,
-        region: str,
-        view: GatewayView,
+        right: SendRight,
         now: float,
     ) -> Room:
         """Tell what one more request to a replica would be."""
-        recent = len(self._recent(replica.replica_id, now))
+        recent = len(self._recent(replica_id, now))
         if rate_per_s <= 0 or not recent:
             return Room.FREE
-        part, limit = own_counts(self.bound.requests(rate_per_s), replica, region, view)
+        part, limit = own_counts(self.bound.requests(rate_per_s), right)
         if recent < part:
             return Room.FREE
         return Room.SPARE if recent < limit else Room.NONE
--- a/rooklug/gateway/view.py
+++ b/rooklug/gateway/view.py
@@ -1,11 +1,12 @@
 """One immutable snapshot of what a front knows: configuration, replicas, zones, fronts, plan."""
 
-from collections import Counter
 from functools import cached_property
 
 import attrs
 
 from rooklug.gateway.document import GatewayConfiguration
+from rooklug.gateway.serving_fronts import serving_fronts
+from rooklug.routing.send_rights import SendRights
 from rooklug.wire.generated.control.ttypes import NodeRecord, RouteWeight
 
 FRONT_ROLE = "front"
@@ -79,14 +80,16 @@
         return tuple(node for node in self.fronts if node.ready and not node.draining)
 
     @cached_property
-    def ready_front_ids(self) -> tuple[str, ...]:
-        """Node ids of the fronts that take traffic."""
-        return tuple(node.node_id for node in self.ready_fronts)
-
-    @cached_property
-    def ready_fronts_by_region(self) -> Counter[str]:
-        """How many fronts of each region take traffic."""
-        return Counter(node.region for node in self.ready_fronts)
+    def send_rights(self) -> SendRights:
+        """Which fronts take the traffic of each region."""
+        by_region: dict[str, list[NodeRecord]] = {}
+        for node in self.ready_fronts:
+            by_region.setdefault(node.region, []).append(node)
+        serving = {
+            region: tuple(node.node_id for node in serving_fronts(found, self.core_machines))
+            for region, found in by_region.items()
+        }
+        return SendRights(serving, frozenset(node.node_id for node in self.ready_fronts))
 
 
 def matrix_of(cells: list[RouteWeight]) -> dict[MatrixKey, tuple[RegionShare, ...]]:
--- a/rooklug/membership/lease_service.py
+++ b/rooklug/membership/lease_service.py
@@ -6,11 +6,12 @@
 from rooklug.engine import events as ev
 from rooklug.membership.core_view import CoreView
 from rooklug.membership.leases import RenewalOutcome, identity_of
-from rooklug.membership.timing import TICK_S
+from rooklug.membership.timing import MEMBERS_BATCH_S, TICK_S
 from rooklug.model.constants import LEASE_S
 from rooklug.wire.generated.control.ttypes import RenewLeaseRequest
 
 PUBLISH_MEMBERS = "publish-members"
+PUBLISH_EARLY = "publish-early-members"
 _LEASE_MS = int(LEASE_S * 1000)
 
 
@@ -19,6 +20,7 @@
     """Acts on the shared view; only while this core is the primary."""
 
     view: CoreView
+    _early_is_due: bool = False
 
     def renew(self, event: ev.CallArrived, now: float) -> list[fx.Effect]:
         """Answer a renewal with the complete set of roles that the node may hold."""
@@ -61,11 +63,28 @@
     def members_changed(self, now: float) -> list[fx.Effect]:
         """Publish the members soon; further changes until then go out with this one."""
         members = self.view.members
+        if not members.published:
+            return self._early_soon()
         if members.dirty:
             return []
         members.dirty = True
         return [fx.StartTimer(PUBLISH_MEMBERS, members.delay(now))]
 
+    def _early_soon(self) -> list[fx.Effect]:
+        if self._early_is_due:
+            return []
+        self._early_is_due = True
+        return [fx.StartTimer(PUBLISH_EARLY, MEMBERS_BATCH_S)]
+
+    def publish_early(self, now: float) -> list[fx.Effect]:
+        """Before a term's first publication: tell nodes that know nobody."""
+        self._early_is_due = False
+        view = self.view
+        if not view.acts(now) or view.members.published:
+            return []
+        view.members.publish_early(view.store, view.leases, view.roles)
+        return view.wake(now)
+
     def publish_members(self, now: float) -> list[fx.Effect]:
         """Publish the members topic if what matters of it has changed."""
         view = self.view
--- a/rooklug/membership/members_topic.py
+++ b/rooklug/membership/members_topic.py
@@ -87,6 +87,18 @@
         """Return how long a change waits for others to go out with it, in seconds."""
         return max(MEMBERS_BATCH_S, self._next_at - now)
 
+    def publish_early(self, store: TopicStore, leases: LeaseTable, roles: RoleTable) -> None:
+        """Tell those that know no member at all who has announced itself so far.
+
+        A term's first publication waits until every live node has had time to announce itself:
+        nodes that hold an earlier list must not take the others for gone. Nodes that have just
+        started hold none, and until they know their peers they don't know their shares.
+        """
+        self._counter += 1
+        mark = VersionMark(epoch=roles.epoch, counter=self._counter)
+        body = members_body(leases, roles, self.core_addresses)
+        store.offer_early(MEMBERS, mark, encode_packed(body))
+
     def publish(
         self, store: TopicStore, leases: LeaseTable, roles: RoleTable, polls: int, now: float
     ) -> bool:
--- a/rooklug/membership/membership_part.py
+++ b/rooklug/membership/membership_part.py
@@ -9,7 +9,7 @@
 from rooklug.membership.configuration_topic import PUBLISH_CONFIGURATION, ConfigurationTopic
 from rooklug.membership.core_view import CoreView
 from rooklug.membership.hub import PollReply
-from rooklug.membership.lease_service import PUBLISH_MEMBERS, LeaseService
+from rooklug.membership.lease_service import PUBLISH_EARLY, PUBLISH_MEMBERS, LeaseService
 from rooklug.membership.members_topic import members_body
 from rooklug.membership.primacy import Primacy
 from rooklug.membership.publications import Publications, PublishRefusal
@@ -74,6 +74,7 @@
         self._timers = {
             _TICK: self._tick,
             PUBLISH_MEMBERS: self.leases.publish_members,
+            PUBLISH_EARLY: self.leases.publish_early,
             PUBLISH_CONFIGURATION: self._publish_configuration,
         }
 
--- a/rooklug/membership/topic_store.py
+++ b/rooklug/membership/topic_store.py
@@ -20,6 +20,11 @@
     """Bodies by topic; an older mark never replaces a newer one."""
 
     _topics: dict[str, StoredTopic] = attrs.field(factory=dict)
+    _early: dict[str, TopicUpdate] = attrs.field(factory=dict)
+
+    def offer_early(self, topic: str, mark: VersionMark, body: bytes) -> None:
+        """Keep an incomplete body for those that hold nothing of the topic, until ``offer``."""
+        self._early[topic] = TopicUpdate(topic=topic, version=mark, body=body)
 
     def offer(
         self,
@@ -34,11 +39,13 @@
         whole = TopicUpdate(topic=topic, version=mark, body=body)
         by_base = {mark_key(delta.patch_base): delta for delta in deltas}
         self._topics[topic] = StoredTopic(whole, by_base)
+        self._early.pop(topic, None)
         return True
 
     def forget(self, topic: str) -> None:
         """Drop a topic's body."""
         self._topics.pop(topic, None)
+        self._early.pop(topic, None)
 
     def mark(self, topic: str) -> VersionMark:
         """Return the newest mark of a topic, or the zero mark."""
@@ -55,11 +62,19 @@
 
     def newer_than(self, held: tuple[TopicMark, ...]) -> list[TopicUpdate]:
         """Return the updates of exactly those topics that are newer than ``held``."""
-        return [
+        newer = [
             self._update_for(entry)
             for entry in held
             if entry.topic in self._topics and is_newer(self.mark(entry.topic), entry.version)
         ]
+        return newer + [self._early[entry.topic] for entry in held if self._helps(entry)]
+
+    def _helps(self, held: TopicMark) -> bool:
+        """Tell whether a node has nothing better than the early body of a topic."""
+        early = self._early.get(held.topic)
+        if early is None or not is_newer(early.version, held.version):
+            return False
+        return held.version.epoch in (ZERO_MARK.epoch, early.version.epoch)
 
     def _update_for(self, held: TopicMark) -> TopicUpdate:
         stored = self._topics[held.topic]
--- a/tests/test_gateway_site.py
+++ b/tests/test_gateway_site.py
@@ -12,6 +12,7 @@
 from rooklug.engine import effects as fx
 from rooklug.gateway import view_keeper
 from rooklug.gateway.cold_gate import ColdGate
+from rooklug.gateway.decision import Decision
 from rooklug.gateway.executor import GatewayExecutor
 from rooklug.gateway.passage import Passage
 from rooklug.gateway.replica_pace import ReplicaPace, Room
@@ -21,9 +22,11 @@
 from rooklug_lab.gateway.journal import Arrival, Attempt, Disturbance, Journal, Order, Run
 from rooklug_lab.gateway.oracles import ORACLES, judge
 from rooklug_lab.gateway.scenarios import SCENARIOS, run_gateway_scenario
+from rooklug_lab.gateway.site import GatewaySite
 
 SEEDS = (1, 2)
 LEAST_SERVED = 0.85
+SOON_S = 1.5
 LEAST_SERVED_WITHOUT_A_REGION = 0.75
 """A third of the clients have no front for a fifth of the run."""
 
@@ -85,6 +88,34 @@
         self.assertEqual(repr(first), repr(second))
 
 
+class KnowingTheMembers(unittest.TestCase):
+    """Fronts that start know their peers before the first lease could have ended."""
+
+    def test_fronts_know_each_other_soon_after_everything_was_killed(self) -> None:
+        site = GatewaySite(4)
+        site.start()
+        site.world.run_for(6.0)
+        site.kill([*site.cores, *site.fronts], 1.0, power=True)
+        site.world.run_for(1.0 + SOON_S)
+        known = [len(_decision_of(site, name).view.ready_fronts) for name in site.fronts]
+        self.assertEqual(known, [len(site.fronts)] * len(site.fronts))
+
+    def test_fronts_that_live_on_never_lose_sight_of_the_others_in_a_failover(self) -> None:
+        site = GatewaySite(5)
+        site.start()
+        site.world.run_for(6.0)
+        site.kill(site.cores, 0.8)
+        for _ in range(50):
+            site.world.run_for(0.1)
+            for name in site.fronts:
+                seen = len(_decision_of(site, name).view.ready_fronts)
+                self.assertEqual(seen, len(site.fronts))
+
+
+def _decision_of(site: GatewaySite, name: str) -> Decision:
+    return site.process(name).reducer.parts[GatewayExecutor.name]._decision
+
+
 def _every_replica(view: GatewayView, service: str, homes: tuple[str, ...]) -> list[Any]:
     return list(view.replicas.get(service, ()))
 
