--- a/rooklug/gateway/directory.py
+++ b/rooklug/gateway/directory.py
@@ -14,6 +14,11 @@
 DIRECTORY_LISTENER = "directory"
 READINESS_LISTENER = "readiness"
 MAX_ADDRESSES = 64
+SETTLED_S = 2.0
+"""An answer that was first given longer ago is taken to last."""
+CHANGING_TTL_S = 0.5
+"""How long other answers hold: fronts come and go at this moment."""
+MOST_ANSWERS_KEPT = 64
 _JSON = {"content-type": "application/json"}
 
 
@@ -36,6 +41,7 @@
         self._lifecycle = lifecycle
         self._own_address = own_address
         self._ttl_s = ttl_s
+        self._told: dict[tuple[str, ...], float] = {}
 
     def handle(self, event: ev.Event, now: float) -> list[fx.Effect]:
         """Answer a question."""
@@ -49,9 +55,18 @@
         addresses = self._addresses(question)
         if not addresses:
             return [fx.HttpRespond(event.request_id, 503, b"{}", _JSON)]
-        body = self._dialect.write_where(addresses[:MAX_ADDRESSES], self._ttl_s)
+        addresses = addresses[:MAX_ADDRESSES]
+        body = self._dialect.write_where(addresses, self._ttl_of(addresses, now))
         return [fx.HttpRespond(event.request_id, 200, body, _JSON)]
 
+    def _ttl_of(self, addresses: list[str], now: float) -> float:
+        """Return how long an answer holds: not long while answers change."""
+        key = tuple(addresses)
+        since = self._told.setdefault(key, now)
+        if len(self._told) > MOST_ANSWERS_KEPT:
+            self._told = {key: since}
+        return self._ttl_s if now - since > SETTLED_S else min(CHANGING_TTL_S, self._ttl_s)
+
     def _readiness(self, event: ev.HttpRequestArrived) -> fx.Effect:
         if event.path != self._dialect.readiness_path:
             return fx.HttpRespond(event.request_id, 404, b"{}", _JSON)
--- a/rooklug/gateway/serving_fronts.py
+++ b/rooklug/gateway/serving_fronts.py
@@ -6,7 +6,7 @@
 from rooklug.wire.generated.control.ttypes import NodeRecord
 
 LEAST_FRONTS = 2
-FRONTS_SHARE = 1 / 4
+FRONTS_SHARE = 1 / 16
 """Part of a region's fronts that its clients are sent to: fewer fronts know more of the load of
 each replica and of what it holds, and keep fewer connections; the rest stand by."""
 
