--- a/rooklug/gateway/decision.py
+++ b/rooklug/gateway/decision.py
@@ -7,6 +7,7 @@
 from rooklug.front.outcomes import AttemptOutcome
 from rooklug.gateway.cold_gate import ColdGate
 from rooklug.gateway.document import Route, Service
+from rooklug.gateway.list_doubt import ListDoubt
 from rooklug.gateway.prefix_table import PrefixTable
 from rooklug.gateway.read_rate import ReadRate
 from rooklug.gateway.replica_cost import CostModel, rank_of
@@ -17,6 +18,8 @@
 
 RETRY_AFTER_COLD_S = 0.5
 RETRY_AFTER_NO_REPLICA_S = 1.0
+RETRY_AFTER_OLD_LIST_S = 1.0
+"""The list of replicas is read about as often."""
 
 
 @attrs.frozen
@@ -49,6 +52,7 @@
     view: GatewayView = attrs.field(factory=GatewayView)
     loads: dict[str, ReplicaLoad] = attrs.field(factory=dict)
     prefixes: PrefixTable = attrs.field(factory=PrefixTable)
+    doubt: ListDoubt = attrs.field(factory=ListDoubt)
     read_rate: ReadRate = attrs.field(factory=ReadRate)
 
     def service_for(self, request: PassedRequest, route: Route) -> Service:
@@ -75,10 +79,14 @@
         usable = [
             replica
             for replica in self.view.usable(service.name, route.home_regions)
-            if replica.replica_id not in tried
+            if replica.replica_id not in tried and not self.doubt.is_gone(replica.replica_id)
         ]
         if not usable:
             return Refuse("no replica", RETRY_AFTER_NO_REPLICA_S)
+        sure = [r for r in usable if not self.doubt.is_doubtful(r.replica_id, r.zone)]
+        if not sure and tried:
+            return Refuse("the list is old", RETRY_AFTER_OLD_LIST_S)
+        usable = sure or usable
         healthy = [replica for replica in usable if not self._is_ejected(replica, now)]
         healthy = [r for r in healthy if not self._load(r).is_silent(now)] or healthy
         open_ones = [replica for replica in healthy if self._may_send(replica, service, now)]
@@ -111,10 +119,12 @@
         if service.cold_rate_per_s > 0:
             self.pace.sent(replica.replica_id, now)
         if replica.is_cold(now):
-            self.cold_gate.sent(replica.replica_id, service.cold_rate_per_s, self._front_ids(), now)
+            senders = self.view.send_rights.senders(replica.region)
+            self.cold_gate.sent(replica.replica_id, service.cold_rate_per_s, senders, now)
 
     def heard(self, call_id: int, replica: GatewayReplica, now: float) -> None:
         """Note bytes of an answer."""
+        self.doubt.prove(replica.replica_id)
         self._load(replica).heard(call_id, now)
         self.read_rate.heard(call_id, now)
 
@@ -126,10 +136,15 @@
         load.ended(call_id, now)
         self.read_rate.ended(call_id)
         if outcome is AttemptOutcome.SUCCESS:
+            self.doubt.prove(replica.replica_id)
             load.health.succeeded()
         elif outcome is not None:
             load.health.failed(outcome, now, self.random)
 
+    def denied(self, replica: GatewayReplica) -> None:
+        """Note that a replica's address answered as another replica."""
+        self.doubt.disprove(replica.replica_id, replica.zone)
+
     def take_view(self, view: GatewayView) -> None:
         """Go on under a newer snapshot."""
         self.view = view
@@ -140,6 +155,7 @@
         self.cold_gate.forget_except(listed)
         self.pace.forget_except(listed)
         self.prefixes.forget_except(listed)
+        self.doubt.take_list(listed)
 
     def _region_levels(
         self, request: PassedRequest, route: Route, service: Service
@@ -204,11 +220,13 @@
             return False
         if not replica.is_cold(now):
             return True
-        return self.cold_gate.may_send(replica.replica_id, rate_per_s, self._front_ids(), now)
+        senders = self.view.send_rights.senders(replica.region)
+        return self.cold_gate.may_send(replica.replica_id, rate_per_s, senders, now)
 
     def _room(self, replica: GatewayReplica, service: Service, now: float) -> Room:
         rate_per_s = service.cold_rate_per_s
-        return self.pace.room(replica, rate_per_s, self.region, self.view, now)
+        right = self.view.send_rights.towards(replica.region, self.cold_gate.front_id)
+        return self.pace.room(replica.replica_id, rate_per_s, right, now)
 
     def is_silent(self, replica: GatewayReplica, now: float) -> bool:
         """Tell whether a replica owes answers and says nothing at all."""
@@ -225,10 +243,10 @@
         return load.running if load else 0
 
     def _load(self, replica: GatewayReplica) -> ReplicaLoad:
-        return self.loads.setdefault(replica.replica_id, ReplicaLoad())
-
-    def _front_ids(self) -> list[str]:
-        return [node.node_id for node in self.view.ready_fronts()]
+        load = self.loads.get(replica.replica_id)
+        if load is None:
+            load = self.loads[replica.replica_id] = ReplicaLoad()
+        return load
 
     def _tie(self) -> float:
         return self.random.random()
--- a/rooklug/gateway/view.py
+++ b/rooklug/gateway/view.py
@@ -1,8 +1,12 @@
 """One immutable snapshot of what a front knows: configuration, replicas, zones, fronts, plan."""
 
+from functools import cached_property
+
 import attrs
 
 from rooklug.gateway.document import GatewayConfiguration
+from rooklug.gateway.serving_fronts import serving_fronts
+from rooklug.routing.send_rights import SendRights
 from rooklug.wire.generated.control.ttypes import NodeRecord, RouteWeight
 
 FRONT_ROLE = "front"
@@ -70,9 +74,22 @@
         """Return the plan's cells for a region's traffic; empty without any."""
         return self.matrix.get((service, region, homes), ())
 
-    def ready_fronts(self) -> list[NodeRecord]:
-        """Return the fronts that take traffic."""
-        return [node for node in self.fronts if node.ready and not node.draining]
+    @cached_property
+    def ready_fronts(self) -> tuple[NodeRecord, ...]:
+        """The fronts that take traffic."""
+        return tuple(node for node in self.fronts if node.ready and not node.draining)
+
+    @cached_property
+    def send_rights(self) -> SendRights:
+        """Which fronts take the traffic of each region."""
+        by_region: dict[str, list[NodeRecord]] = {}
+        for node in self.ready_fronts:
+            by_region.setdefault(node.region, []).append(node)
+        serving = {
+            region: tuple(node.node_id for node in serving_fronts(found, self.core_machines))
+            for region, found in by_region.items()
+        }
+        return SendRights(serving, frozenset(node.node_id for node in self.ready_fronts))
 
 
 def matrix_of(cells: list[RouteWeight]) -> dict[MatrixKey, tuple[RegionShare, ...]]:
