--- a/rooklug/gateway/build.py
+++ b/rooklug/gateway/build.py
@@ -54,6 +54,7 @@
     from rooklug.gateway.demand import DemandReporter
     from rooklug.gateway.directory import Directory
     from rooklug.gateway.lifecycle import Lifecycle
+    from rooklug.gateway.peer_exchange import PeerExchange
     from rooklug.gateway.view_keeper import GatewayViewKeeper
 
     core_link = CoreLink(settings, context)
@@ -76,6 +77,7 @@
             lifecycle,
             Directory(dialect, keeper, lifecycle, settings.http_address, limits.directory_ttl_s),
             DemandReporter(settings, context, core_link),
+            PeerExchange(settings, context, executor.decision),
         ]
     )
 
--- a/rooklug/gateway/decision.py
+++ b/rooklug/gateway/decision.py
@@ -13,11 +13,15 @@
 from rooklug.gateway.replica_cost import CostModel, rank_of
 from rooklug.gateway.replica_load import ReplicaLoad
 from rooklug.gateway.replica_pace import ReplicaPace, Room
-from rooklug.gateway.requests import PassedRequest
+from rooklug.gateway.requests import PassedRequest, PromptPart
 from rooklug.gateway.view import GatewayReplica, GatewayView
+from rooklug.routing.peer_loads import PeerLoads, Use
+from rooklug.wire.generated.peers.ttypes import SentPrompt
 
 RETRY_AFTER_COLD_S = 0.5
 RETRY_AFTER_NO_REPLICA_S = 1.0
+MOST_UNTOLD_PROMPTS = 256
+"""Without peers nobody asks for them."""
 RETRY_AFTER_OLD_LIST_S = 1.0
 """The list of replicas is read about as often."""
 
@@ -54,6 +58,8 @@
     prefixes: PrefixTable = attrs.field(factory=PrefixTable)
     doubt: ListDoubt = attrs.field(factory=ListDoubt)
     read_rate: ReadRate = attrs.field(factory=ReadRate)
+    peers: PeerLoads = attrs.field(factory=PeerLoads)
+    _sent_prompts: list[SentPrompt] = attrs.field(factory=list)
 
     def service_for(self, request: PassedRequest, route: Route) -> Service:
         """Return the service that a request draws by the route's weights."""
@@ -114,14 +120,34 @@
         if service.engine is not None:
             self.read_rate.sent(call_id, ahead + missing, now)
         if service.engine is not None:
-            memory = service.engine.key_value_tokens
-            self.prefixes.used(replica.replica_id, request.parts, memory, now)
+            self._note_prompt(request, replica, service.engine.key_value_tokens, now)
         if service.cold_rate_per_s > 0:
             self.pace.sent(replica.replica_id, now)
         if replica.is_cold(now):
             senders = self.view.send_rights.senders(replica.region)
             self.cold_gate.sent(replica.replica_id, service.cold_rate_per_s, senders, now)
 
+    def _note_prompt(
+        self, request: PassedRequest, replica: GatewayReplica, memory: int, now: float
+    ) -> None:
+        """Remember what a replica reads now, and tell the peers its shared parts."""
+        self.prefixes.used(replica.replica_id, request.parts, memory, now)
+        shared = request.parts[:-1]
+        if shared and len(self._sent_prompts) < MOST_UNTOLD_PROMPTS:
+            ids, tokens = [part.part_id for part in shared], [part.tokens for part in shared]
+            self._sent_prompts.append(SentPrompt(replica.replica_id, ids, tokens, memory))
+
+    def take_sent_prompts(self) -> list[SentPrompt]:
+        """Return the prompts that were sent since the last question."""
+        taken, self._sent_prompts = self._sent_prompts, []
+        return taken
+
+    def learn_prompt(
+        self, replica_id: str, parts: tuple[PromptPart, ...], memory: int, now: float
+    ) -> None:
+        """Take from a peer that a replica reads these parts."""
+        self.prefixes.used(replica_id, parts, memory, now)
+
     def heard(self, call_id: int, replica: GatewayReplica, now: float) -> None:
         """Note bytes of an answer."""
         self.doubt.prove(replica.replica_id)
@@ -185,9 +211,9 @@
         """Return a replica in the region that the plan names."""
         near = self._in_first_region(request, route, service, open_ones)
         if not (route.affinity and request.parts):
-            return self._least_running(near)
+            return self._least_running(near, now)
         model = self._cost_model(request, route, near)
-        costs = [model.of(replica, self._load(replica), now) for replica in near]
+        costs = [model.of(replica, self._use(replica, now), now) for replica in near]
         return min(costs, key=lambda cost: cost.order).replica
 
     def _in_first_region(
@@ -203,8 +229,9 @@
                 return candidates
         return open_ones
 
-    def _least_running(self, candidates: list[GatewayReplica]) -> GatewayReplica:
-        return min(candidates, key=lambda r: (self._running(r), r.zone != self.zone, self._tie()))
+    def _least_running(self, candidates: list[GatewayReplica], now: float) -> GatewayReplica:
+        uses = {r.replica_id: self._use(r, now).running for r in candidates}
+        return min(candidates, key=lambda r: (uses[r.replica_id], r.zone != self.zone, self._tie()))
 
     def _cost_model(
         self, request: PassedRequest, route: Route, near: list[GatewayReplica]
@@ -238,9 +265,11 @@
             return False
         return load.health.is_ejected(now) or (load.health.on_probation and load.running > 0)
 
-    def _running(self, replica: GatewayReplica) -> int:
-        load = self.loads.get(replica.replica_id)
-        return load.running if load else 0
+    def _use(self, replica: GatewayReplica, now: float) -> Use:
+        """Return what is under way at a replica, as far as known."""
+        others = self.peers.at_replica(replica.replica_id, now)
+        load = self._load(replica)
+        return Use(load.running + others.running, load.waiting_tokens + others.waiting_tokens)
 
     def _load(self, replica: GatewayReplica) -> ReplicaLoad:
         load = self.loads.get(replica.replica_id)
--- a/rooklug/gateway/executor.py
+++ b/rooklug/gateway/executor.py
@@ -89,6 +89,11 @@
         self._watching = False
         self.figures = GatewayFigures()
 
+    @property
+    def decision(self) -> Decision:
+        """The decision object that it asks."""
+        return self._decision
+
     def active(self) -> int:
         """Return how many requests are under way."""
         return len(self._by_http)
--- a/rooklug/gateway/replica_cost.py
+++ b/rooklug/gateway/replica_cost.py
@@ -4,9 +4,9 @@
 import xxhash
 
 from rooklug.gateway.prefix_table import PrefixTable
-from rooklug.gateway.replica_load import ReplicaLoad
 from rooklug.gateway.requests import PromptPart
 from rooklug.gateway.view import GatewayReplica
+from rooklug.routing.peer_loads import Use
 
 READ_AGAIN_WEIGHT = 5.0
 """Reading shared tokens again weighs as much as waiting so many times as long."""
@@ -48,7 +48,7 @@
     prefixes: PrefixTable
     likely: str
 
-    def of(self, replica: GatewayReplica, load: ReplicaLoad, now: float) -> Cost:
+    def of(self, replica: GatewayReplica, load: Use, now: float) -> Cost:
         """Return the cost of one replica."""
         missing = self.prefixes.missing(replica.replica_id, self.parts, now)
         tokens_ahead = load.waiting_tokens + RUNNING_TOKENS * load.running
--- a/rooklug_lab/policy/fronts.py
+++ b/rooklug_lab/policy/fronts.py
@@ -10,9 +10,11 @@
 from rooklug.engine import effects as fx
 from rooklug.engine import events as ev
 from rooklug.engine.composite import Notify
-from rooklug.engine.reducer import Identifiers
+from rooklug.engine.reducer import Identifiers, ProcessContext
 from rooklug.gateway.executor import GatewayExecutor
 from rooklug.gateway.notices import RequestCounted, ViewChanged
+from rooklug.gateway.peer_exchange import PeerExchange
+from rooklug.model.settings import NodeSettings
 from rooklug_lab.policy.replicas import EmulatedReplica, Job
 from rooklug_lab.policy.shapes import ZoneShape
 
@@ -49,6 +51,7 @@
     dark: bool = False
     generation: int = 0
     executor: GatewayExecutor | None = None
+    exchange: PeerExchange | None = None
     demand: dict[str, list[float]] = attrs.field(factory=dict)
     _calls: dict[int, OpenCall] = attrs.field(factory=dict)
     _idle: dict[str, int] = attrs.field(factory=lambda: defaultdict(int))
@@ -64,6 +67,8 @@
         identifiers = Identifiers()
         self.executor = self.build(Random(f"{self.name}/{self.generation}"), identifiers)
         self.executor.handle(ev.Started(), self.world.now)
+        self.exchange = self._build_exchange(identifiers)
+        self._exchange_handle(ev.Started())
         self.deliver(ViewChanged(self.world.control.view))
 
     def end(self, dark: bool) -> None:
@@ -79,6 +84,10 @@
         """Give the executor an event and obey it."""
         if not self.up:
             return
+        if isinstance(event, ViewChanged):
+            self.executor.handle(event, self.world.now)
+            self._exchange_handle(event)
+            return
         for effect in self.executor.handle(event, self.world.now):
             self._obey(effect)
 
@@ -101,6 +110,42 @@
             case _:
                 self.world.clients.answered(self, effect)
 
+    def _build_exchange(self, identifiers: Identifiers) -> PeerExchange:
+        settings = NodeSettings(
+            node_id=self.name,
+            role="front",
+            zone=self.zone.name,
+            region=self.zone.region,
+            listen_internal=self.address,
+            listen_http=self.address,
+            internal_address=self.address,
+            http_address=self.address,
+            seeds=(),
+        )
+        context = ProcessContext(self.name, str(self.generation), Random(0), identifiers)
+        return PeerExchange(settings, context, self.executor.decision)
+
+    def _exchange_handle(self, event: ev.Event) -> None:
+        """Give the exchange an event; its calls reach peers after the way between them."""
+        for effect in self.exchange.handle(event, self.world.now):
+            if isinstance(effect, fx.StartTimer):
+                self._exchange_later(effect.delay_s, ev.TimerFired(effect.name))
+            elif isinstance(effect, fx.Call):
+                peer = self.world.front_at(effect.address)
+                delay_s = self.world.network.delay_s(self.zone, peer.zone)
+                told = ev.CallArrived(effect.call_id, self.name, effect.request)
+                peer._exchange_later(delay_s, told)
+                self._exchange_later(2 * delay_s, ev.CallAnswered(effect.call_id, None))
+
+    def _exchange_later(self, delay_s: float, event: ev.Event) -> None:
+        generation = self.generation
+
+        def fire() -> None:
+            if self.up and generation == self.generation:
+                self._exchange_handle(event)
+
+        self.world.scheduler.after(delay_s, fire)
+
     def _count(self, notice: object) -> None:
         if not isinstance(notice, RequestCounted):
             return
--- a/rooklug_lab/policy/world.py
+++ b/rooklug_lab/policy/world.py
@@ -78,6 +78,10 @@
         """Return the replica at an address, running or not."""
         return self._replicas[address]
 
+    def front_at(self, address: str) -> EmulatedFront:
+        """Return the front at an address."""
+        return next(front for front in self.fronts.values() if front.address == address)
+
     def running_replicas(self) -> list[EmulatedReplica]:
         """Return the replicas that run, by address."""
         return [replica for replica in self._replicas.values() if replica.up]
