--- a/rooklug/gateway/decision.py
+++ b/rooklug/gateway/decision.py
@@ -239,7 +239,16 @@
         shared = request.parts[:-1] or request.parts
         likely = max(near, key=lambda r: rank_of(shared, r.replica_id)).replica_id
         rate = self.read_rate.tokens_per_s
-        return CostModel(shared, route.latency_objective_s, rate, self.prefixes, likely)
+        own_tokens = request.parts[-1].tokens if len(request.parts) > 1 else 0
+        return CostModel(
+            shared,
+            own_tokens,
+            route.latency_objective_s,
+            route.gap_objective_s,
+            rate,
+            self.prefixes,
+            likely,
+        )
 
     def _may_send(self, replica: GatewayReplica, service: Service, now: float) -> bool:
         rate_per_s = service.cold_rate_per_s
--- a/rooklug/gateway/peer_exchange.py
+++ b/rooklug/gateway/peer_exchange.py
@@ -61,7 +61,7 @@
             case ev.Started():
                 return [fx.StartTimer(_TIMER, TELL_EVERY_S)]
             case ev.TimerFired():
-                return [fx.StartTimer(_TIMER, self._pause_s()), *self._tell()]
+                return [fx.StartTimer(_TIMER, self._pause_s()), *self._tell(now)]
             case ev.CallArrived():
                 return self._take(event, now)
             case ev.CallAnswered() | ev.CallFailed():
@@ -84,10 +84,11 @@
     def _pause_s(self) -> float:
         return min(TELL_EVERY_S * max(len(self._peers), 1), LONGEST_PAUSE_S)
 
-    def _tell(self) -> list[fx.Effect]:
+    def _tell(self, now: float) -> list[fx.Effect]:
         prompts = self._decision.take_sent_prompts()
+        rate = self._decision.read_rate.tokens_per_s
         uses = [
-            ReplicaUse(replica_id, load.running, load.waiting_tokens)
+            ReplicaUse(replica_id, load.running, load.unread_tokens(rate, now))
             for replica_id, load in self._decision.loads.items()
             if load.running
         ]
