The plan counts what replicas read, by route, every two seconds

(1) demand was counted by service and split evenly over the sets of home regions of its routes: half of a region's unbound demand was taken for bound. (2) 40 load tokens/s a slot, in which an answer token weighs as much as eight prompt tokens: the contrary of what engines spend. (3) reports every 3 s, a solve every 4 s, and a wave of demand that turns in 26 s.

--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -197,6 +197,7 @@
   3: required i64 sequence
   4: required list<DemandEntry> entries
   5: required list<ReplicaObservation> observations
+  6: optional double read_tokens_per_s    // how fast model replicas read prompts, as observed
 }
 struct DemandAnswer {
   1: required bool accepted               // false: not the placer, look at "members" again
--- a/rooklug/gateway/build.py
+++ b/rooklug/gateway/build.py
@@ -76,7 +76,7 @@
             executor,
             lifecycle,
             Directory(dialect, keeper, lifecycle, settings.http_address, limits.directory_ttl_s),
-            DemandReporter(settings, context, core_link),
+            DemandReporter(settings, context, core_link, executor.decision),
             PeerExchange(settings, context, executor.decision),
         ]
     )
--- a/rooklug/gateway/decision.py
+++ b/rooklug/gateway/decision.py
@@ -20,6 +20,8 @@
 
 RETRY_AFTER_COLD_S = 0.5
 RETRY_AFTER_NO_REPLICA_S = 1.0
+READ_SHARE_WEIGHT = 0.01
+"""Weight of one prompt in the moving average of the share that is read."""
 MOST_UNTOLD_PROMPTS = 256
 """Without peers nobody asks for them."""
 RETRY_AFTER_OLD_LIST_S = 1.0
@@ -59,6 +61,7 @@
     doubt: ListDoubt = attrs.field(factory=ListDoubt)
     read_rate: ReadRate = attrs.field(factory=ReadRate)
     peers: PeerLoads = attrs.field(factory=PeerLoads)
+    read_share: float = 1.0
     _sent_prompts: list[SentPrompt] = attrs.field(factory=list)
 
     def service_for(self, request: PassedRequest, route: Route) -> Service:
@@ -118,8 +121,8 @@
         ahead = load.waiting_tokens
         load.sent(call_id, missing, now)
         if service.engine is not None:
+            self._note_reading(request, missing)
             self.read_rate.sent(call_id, ahead + missing, now)
-        if service.engine is not None:
             self._note_prompt(request, replica, service.engine.key_value_tokens, now)
         if service.cold_rate_per_s > 0:
             self.pace.sent(replica.replica_id, now)
@@ -127,6 +130,12 @@
             senders = self.view.send_rights.senders(replica.region)
             self.cold_gate.sent(replica.replica_id, service.cold_rate_per_s, senders, now)
 
+    def _note_reading(self, request: PassedRequest, missing: int) -> None:
+        """Follow which share of the prompts' tokens replicas have to read."""
+        total = sum(part.tokens for part in request.parts)
+        if total:
+            self.read_share += READ_SHARE_WEIGHT * (missing / total - self.read_share)
+
     def _note_prompt(
         self, request: PassedRequest, replica: GatewayReplica, memory: int, now: float
     ) -> None:
--- a/rooklug/gateway/demand.py
+++ b/rooklug/gateway/demand.py
@@ -1,4 +1,8 @@
-"""Counts the demand that reaches this front and reports it to the primary's planner."""
+"""Counts the demand that reaches this front and reports it to the primary's planner.
+
+Demand is counted by route, since routes differ in the regions that they may use. Prompt tokens
+are those that replicas are expected to read: what they keep in memory is no work.
+"""
 
 from collections import defaultdict
 
@@ -8,11 +12,12 @@
 from rooklug.engine import events as ev
 from rooklug.engine.composite import PartDefaults
 from rooklug.engine.reducer import ProcessContext
+from rooklug.gateway.decision import Decision
 from rooklug.gateway.notices import RequestCounted
 from rooklug.model.settings import NodeSettings
 from rooklug.wire.generated.control.ttypes import DemandEntry, DemandReport
 
-REPORT_INTERVAL_S = 3.0
+REPORT_INTERVAL_S = 2.0
 CALL_DEADLINE_S = 1.0
 _TIMER = "report"
 
@@ -30,17 +35,20 @@
     name = "demand"
     notice_types = (RequestCounted,)
 
-    def __init__(self, settings: NodeSettings, context: ProcessContext, core_link) -> None:
+    def __init__(
+        self, settings: NodeSettings, context: ProcessContext, core_link, decision: Decision
+    ) -> None:
+        self._decision = decision
         self._settings = settings
         self._context = context
         self._core_link = core_link
-        self._counts: dict[str, _Count] = defaultdict(_Count)
+        self._counts: dict[tuple[str, str], _Count] = defaultdict(_Count)
         self._sequence = 0
 
     def handle(self, event: ev.Event, now: float) -> list[fx.Effect]:
         """Count, or report."""
         if isinstance(event, RequestCounted):
-            count = self._counts[event.service]
+            count = self._counts[event.route, event.service]
             count.requests += 1
             count.prompt_tokens += event.request.prompt_tokens
             count.answer_tokens += event.request.answer_tokens
@@ -60,20 +68,22 @@
             node_id=self._settings.node_id,
             node_incarnation=self._context.incarnation,
             sequence=self._sequence,
-            entries=[self._entry(service, count) for service, count in sorted(taken.items())],
+            entries=[self._entry(place, count) for place, count in sorted(taken.items())],
             observations=[],
+            read_tokens_per_s=self._decision.read_rate.tokens_per_s,
         )
         call_id = self._context.identifiers.next()
         return [fx.Call(call_id, address, report, CALL_DEADLINE_S)]
 
-    def _entry(self, service: str, count: _Count) -> DemandEntry:
+    def _entry(self, place: tuple[str, str], count: _Count) -> DemandEntry:
+        route, service = place
         return DemandEntry(
-            route="",
+            route=route,
             model=service,
             latency_class="",
             source_region=self._settings.region,
             requests_per_s=count.requests / REPORT_INTERVAL_S,
-            prompt_tokens_per_s=count.prompt_tokens / REPORT_INTERVAL_S,
+            prompt_tokens_per_s=count.prompt_tokens * self._decision.read_share / REPORT_INTERVAL_S,
             answer_tokens_per_s=count.answer_tokens / REPORT_INTERVAL_S,
             refused_per_s=0.0,
         )
--- a/rooklug/gateway/executor.py
+++ b/rooklug/gateway/executor.py
@@ -150,7 +150,7 @@
         self._by_http[request.http_id] = passage
         self._budget(passage).count_request(now)
         return [
-            Notify(RequestCounted(request, passage.service.name)),
+            Notify(RequestCounted(request, passage.service.name, route.name)),
             *self._send(passage, now),
             *self._start_watch(),
         ]
--- a/rooklug/gateway/notices.py
+++ b/rooklug/gateway/notices.py
@@ -17,10 +17,11 @@
 
 @attrs.frozen
 class RequestCounted(Notice):
-    """A client's request for a service has arrived."""
+    """A client's request for a service has arrived on a route."""
 
     request: PassedRequest
     service: str
+    route: str
 
 
 @attrs.frozen
--- a/rooklug/gateway/region_planner.py
+++ b/rooklug/gateway/region_planner.py
@@ -33,10 +33,9 @@
 if TYPE_CHECKING:
     from rooklug.placement.problem import PlacementPlan, PlacementProblem
 
-SOLVE_INTERVAL_S = 4.0
+SOLVE_INTERVAL_S = 2.0
 REPORT_VALID_S = 8.0
 """A front's demand counts for so long; a quiet front reports nothing."""
-PROMPT_TOKENS_A_LOAD_TOKEN = 8.0
 LEAST_CHANGE = 0.1
 """A matrix is published anew if a weight moves by more than this."""
 _TIMER = "solve"
@@ -49,12 +48,17 @@
     return solve(problem)
 
 
+PlaceKey = tuple[str, str, tuple[str, ...]]
+"""Service, source region, home regions."""
+
+
 @attrs.frozen
 class _FrontDemand:
-    """A front's last report: load tokens/s by (service, region)."""
+    """A front's last report: tokens/s by (service, region, homes), and how fast replicas read."""
 
     at: float
-    loads: dict[tuple[str, str], float]
+    loads: dict[PlaceKey, float]
+    read_tokens_per_s: float | None
 
 
 class RegionPlanner(PartDefaults):
@@ -76,6 +80,7 @@
         self._sequence = 0
         self._configuration: GatewayConfiguration | None = None
         self._configuration_version = 0
+        self._homes: dict[str, tuple[str, ...]] = {}
         self._replicas: tuple[ListedReplica, ...] = ()
         self._emptied: frozenset[str] = frozenset()
         self._fronts: dict[str, _FrontDemand] = {}
@@ -119,32 +124,48 @@
         if read.is_ok():
             self._configuration = read.ok
             self._configuration_version = event.body.version
+            self._homes = {
+                route.name: tuple(route.home_regions)
+                for by_prefix in read.ok.routes.values()
+                for route in by_prefix.values()
+            }
 
     def _report(self, event: ev.CallArrived, now: float) -> list[fx.Effect]:
         if not self._epoch:
             return [fx.Answer(event.call_id, DemandAnswer(accepted=False))]
         report = event.request
-        loads = {
-            (entry.model, entry.source_region): entry.prompt_tokens_per_s
-            / PROMPT_TOKENS_A_LOAD_TOKEN
-            + entry.answer_tokens_per_s
-            + entry.requests_per_s
-            for entry in report.entries
-        }
-        self._fronts[report.node_id] = _FrontDemand(now, loads)
+        loads: dict[PlaceKey, float] = defaultdict(float)
+        for entry in report.entries:
+            key = (entry.model, entry.source_region, self._homes_of(entry.route))
+            loads[key] += (
+                entry.prompt_tokens_per_s + entry.answer_tokens_per_s + entry.requests_per_s
+            )
+        self._fronts[report.node_id] = _FrontDemand(now, loads, report.read_tokens_per_s)
         return [fx.Answer(event.call_id, DemandAnswer(accepted=True))]
 
+    def _homes_of(self, route_name: str) -> tuple[str, ...]:
+        return self._homes.get(route_name, ())
+
     def _solve(self, now: float) -> list[fx.Effect]:
         if self._ticket or self._configuration is None or not self._replicas:
             return []
         from rooklug.gateway.region_problem import RegionSite
 
         self._ticket = self._identifiers.next()
-        site = RegionSite(self._configuration, self._replicas, self._emptied)
+        site = RegionSite(self._configuration, self._replicas, self._emptied, self._read_rate(now))
         return [fx.Compute(self._ticket, solve_lazily, site.problem(self._measured(now)))]
 
-    def _measured(self, now: float) -> dict[tuple[str, str], float]:
-        measured: dict[tuple[str, str], float] = defaultdict(float)
+    def _read_rate(self, now: float) -> float | None:
+        """Return how fast replicas read, by the fronts that have reported; None: not known."""
+        rates = [
+            front.read_tokens_per_s
+            for front in self._fronts.values()
+            if front.read_tokens_per_s and now - front.at <= REPORT_VALID_S
+        ]
+        return sum(rates) / len(rates) if rates else None
+
+    def _measured(self, now: float) -> dict[PlaceKey, float]:
+        measured: dict[PlaceKey, float] = defaultdict(float)
         for front in self._fronts.values():
             if now - front.at <= REPORT_VALID_S:
                 for place, load in front.loads.items():
--- a/rooklug/gateway/region_problem.py
+++ b/rooklug/gateway/region_problem.py
@@ -22,12 +22,18 @@
 SOLVE_LIMIT_S = 0.5
 ASSUMED_ROUND_TRIP_MS = 50.0
 """Between regions: beyond "zonal", so that a plan keeps traffic near while it can."""
-LOAD_TOKENS_A_SLOT_S = 40.0
-"""What a slot sustains, in load tokens (prompt/8 + answer); a default of ours."""
+TARGET_UTILIZATION = 0.4
+"""Part of its reading that a model replica is planned to use: prompts come in clumps, and streams
+pause while a backlog is read. The rest is the reserve for a lost zone."""
+USUAL_READ_TOKENS_PER_S = 30_000.0
+"""Taken before any front has observed how fast replicas read."""
+REQUESTS_A_SLOT_S = 40.0
+"""What a slot of another service sustains; a default of ours."""
 _CLASS = "any"
 
-MeasuredLoads = dict[tuple[str, str], float]
-"""Load tokens/s by service and source region."""
+MeasuredLoads = dict[tuple[str, str, tuple[str, ...]], float]
+"""Tokens/s by service, source region and home regions: prompt tokens that are read, and answers.
+Services without an engine count requests."""
 
 
 @attrs.frozen
@@ -37,6 +43,7 @@
     configuration: GatewayConfiguration
     replicas: tuple[ListedReplica, ...]
     emptied_zones: frozenset[str]
+    read_tokens_per_s: float | None = None
 
     def problem(self, measured: MeasuredLoads) -> PlacementProblem:
         """Return the placement problem under the measured demand."""
@@ -52,7 +59,7 @@
             if any(replica.backend == name for replica in usable)
         ]
         return PlacementProblem(
-            models={name: _model(name, usable) for name in services},
+            models={name: self._model(name, usable) for name in services},
             regions={region: _facts(region, regions) for region in regions},
             slots=tuple(_slot(replica) for replica in usable if replica.backend in services),
             demand=self._demand(services, regions, measured),
@@ -60,13 +67,21 @@
             solve_limit_s=SOLVE_LIMIT_S,
         )
 
+    def _model(self, service: str, replicas: list[ListedReplica]) -> Model:
+        slots = max(replica.slots or 1 for replica in replicas if replica.backend == service)
+        if self.configuration.services[service].engine is None:
+            capacity = REQUESTS_A_SLOT_S * slots
+        else:
+            capacity = TARGET_UTILIZATION * (self.read_tokens_per_s or USUAL_READ_TOKENS_PER_S)
+        need = ResourceNeed(units=1.0, tokens_per_s=capacity, concurrency=slots)
+        return Model(latency_classes={_CLASS: RoundTrip.ZONAL}, resources={service: need})
+
     def _demand(
         self, services: list[str], regions: list[str], measured: MeasuredLoads
     ) -> dict[DemandKey, float]:
         homes = self._homes_by_service()
         return {
-            DemandKey(service, _CLASS, region, bound): measured.get((service, region), 0.0)
-            / len(homes[service])
+            DemandKey(service, _CLASS, region, bound): measured.get((service, region, bound), 0.0)
             for service in services
             for region in regions
             for bound in sorted(homes[service])
@@ -81,12 +96,6 @@
         return homes
 
 
-def _model(service: str, replicas: list[ListedReplica]) -> Model:
-    slots = max(replica.slots or 1 for replica in replicas if replica.backend == service)
-    need = ResourceNeed(units=1.0, tokens_per_s=LOAD_TOKENS_A_SLOT_S * slots, concurrency=slots)
-    return Model(latency_classes={_CLASS: RoundTrip.ZONAL}, resources={service: need})
-
-
 def _facts(region: str, regions: list[str]) -> RegionFacts:
     others = {other: ASSUMED_ROUND_TRIP_MS for other in regions if other != region}
     return RegionFacts(RegionWeights(spill=1.0), others)
--- a/rooklug_lab/policy/control.py
+++ b/rooklug_lab/policy/control.py
@@ -39,6 +39,7 @@
 from rooklug_lab.policy.document import document_of
 
 if TYPE_CHECKING:
+    from rooklug_lab.policy.fronts import EmulatedFront
     from rooklug_lab.policy.replicas import EmulatedReplica
     from rooklug_lab.policy.world import PolicyWorld
 
@@ -179,18 +180,19 @@
                 node_id=front.name,
                 node_incarnation=str(front.generation),
                 sequence=self._counter,
-                entries=[
-                    _entry(service, front.zone.region, counts)
-                    for service, counts in sorted(taken.items())
-                ],
+                entries=[_entry(place, front, counts) for place, counts in sorted(taken.items())],
                 observations=[],
+                read_tokens_per_s=front.executor.decision.read_rate.tokens_per_s,
             )
             self._plan(ev.CallArrived(number, front.name, report))
 
 
-def _entry(service: str, region: str, counts: list[float]) -> DemandEntry:
+def _entry(place: tuple[str, str], front: "EmulatedFront", counts: list[float]) -> DemandEntry:
+    route, service = place
     requests, prompt_tokens, answer_tokens = (count / REPORT_INTERVAL_S for count in counts)
-    return DemandEntry("", service, "", region, requests, prompt_tokens, answer_tokens, 0.0)
+    prompt_tokens *= front.executor.decision.read_share
+    region = front.zone.region
+    return DemandEntry(route, service, "", region, requests, prompt_tokens, answer_tokens, 0.0)
 
 
 def _record(front) -> NodeRecord:
--- a/rooklug_lab/policy/fronts.py
+++ b/rooklug_lab/policy/fronts.py
@@ -52,7 +52,7 @@
     generation: int = 0
     executor: GatewayExecutor | None = None
     exchange: PeerExchange | None = None
-    demand: dict[str, list[float]] = attrs.field(factory=dict)
+    demand: dict[tuple[str, str], list[float]] = attrs.field(factory=dict)
     _calls: dict[int, OpenCall] = attrs.field(factory=dict)
     _idle: dict[str, int] = attrs.field(factory=lambda: defaultdict(int))
 
@@ -149,7 +149,7 @@
     def _count(self, notice: object) -> None:
         if not isinstance(notice, RequestCounted):
             return
-        counts = self.demand.setdefault(notice.service, [0, 0, 0])
+        counts = self.demand.setdefault((notice.route, notice.service), [0, 0, 0])
         counts[0] += 1
         counts[1] += notice.request.prompt_tokens
         counts[2] += notice.request.answer_tokens
