--- /dev/null
+++ b/tests/test_gateway_peers.py
@@ -0,0 +1,160 @@
+"""Fronts of a region tell each other what they have under way, and decide by it."""
+
+import unittest
+from random import Random
+
+from rooklug.engine import effects as fx
+from rooklug.engine import events as ev
+from rooklug.engine.reducer import Identifiers, ProcessContext
+from rooklug.gateway.notices import ViewChanged
+from rooklug.gateway.peer_exchange import MOST_PEERS, PeerExchange
+from rooklug.gateway.requests import PromptPart
+from rooklug.model.settings import NodeSettings
+from rooklug.routing.peer_loads import NO_USE, STALE_S, PeerLoads, Use
+from rooklug.wire.codec import decode, encode
+from rooklug.wire.generated.peers.ttypes import FrontUse, FrontUseTaken, ReplicaUse
+from tests.gateway_support import NAMES, GatewayFront, replica, route_item
+
+ROUTE = route_item(
+    "s",
+    "/s/",
+    execution="event_stream",
+    service="model",
+    affinity=True,
+    latency_objective_ms=1000,
+    gap_objective_ms=600,
+)
+LONG = {NAMES.prompt_parts: "shared:3000,own:9000"}
+SHORT = {NAMES.prompt_parts: "hello:100,mine:100"}
+
+
+def exchange_of(gateway: GatewayFront, number: int = 1) -> PeerExchange:
+    name = f"front-{number}"
+    address = f"10.1.0.{number}:7000"
+    settings = NodeSettings(
+        node_id=name,
+        role="front",
+        zone="north-a",
+        region="north",
+        listen_internal=address,
+        listen_http=address,
+        internal_address=address,
+        http_address=address,
+        seeds=(),
+    )
+    context = ProcessContext(name, f"{name}-1", Random(1), Identifiers())
+    exchange = PeerExchange(settings, context, gateway.decision)
+    exchange.handle(ViewChanged(gateway.view), gateway.now)
+    return exchange
+
+
+def calls_of(effects: list[fx.Effect]) -> list[fx.Call]:
+    return [effect for effect in effects if isinstance(effect, fx.Call)]
+
+
+class Exchange(unittest.TestCase):
+    def setUp(self):
+        replicas = [replica(1, "model"), replica(2, "model")]
+        self.one = GatewayFront([ROUTE], replicas)
+        self.two = GatewayFront([ROUTE], replicas)
+        self.sender = exchange_of(self.one, 1)
+        self.receiver = exchange_of(self.two, 2)
+
+    def tell(self) -> list[fx.Call]:
+        return calls_of(self.sender.handle(ev.TimerFired("tell"), self.one.now))
+
+    def carry(self, call: fx.Call) -> list[fx.Effect]:
+        """Carry a message over the wire to the other front."""
+        message = decode(FrontUse, encode(call.request)).ok
+        return self.receiver.handle(ev.CallArrived(1, "front-1", message), self.two.now)
+
+    def test_a_front_with_nothing_under_way_says_nothing(self):
+        self.assertEqual(self.tell(), [])
+
+    def test_a_short_prompt_avoids_the_replica_that_reads_a_peers_long_one(self):
+        (busy,) = self.one.request("/s/1", headers=LONG)
+        (call,) = self.tell()
+        (answer,) = self.carry(call)
+        self.assertIsInstance(answer.answer, FrontUseTaken)
+        for _ in range(5):
+            (sent,) = self.two.request("/s/2", headers=SHORT)
+            self.assertNotEqual(sent.address, busy.address)
+
+    def test_a_prompt_goes_where_a_peer_has_just_sent_its_shared_parts(self):
+        (busy,) = self.one.request("/s/1", headers={NAMES.prompt_parts: "shared:3000,own:10"})
+        (told,) = self.tell()
+        self.carry(told)
+        self.sender.handle(ev.CallAnswered(told.call_id, None), self.one.now)
+        self.one.handle(ev.HttpFailed(busy.call_id, "x", ev.SendState.MAYBE_SENT))
+        self.carry(self.tell()[0])
+        (sent,) = self.two.request("/s/1", headers={NAMES.prompt_parts: "shared:3000,other:10"})
+        self.assertEqual(sent.address, busy.address)
+
+    def test_the_end_of_everything_is_told_once(self):
+        (call,) = self.one.request("/s/1", headers=LONG)
+        self.sender.handle(ev.CallAnswered(self.tell()[0].call_id, None), self.one.now)
+        self.one.handle(ev.HttpFailed(call.call_id, "x", ev.SendState.MAYBE_SENT))
+        (last,) = self.tell()
+        self.assertEqual(last.request.uses, [])
+        self.sender.handle(ev.CallAnswered(last.call_id, None), self.one.now)
+        self.assertEqual(self.tell(), [])
+
+    def test_a_peer_that_does_not_answer_gets_one_message_at_a_time(self):
+        self.one.request("/s/1", headers=LONG)
+        (call,) = self.tell()
+        self.assertEqual(self.tell(), [])
+        self.sender.handle(ev.CallFailed(call.call_id, "deadline", True), self.one.now)
+        self.assertEqual(len(self.tell()), 1)
+
+    def test_only_the_serving_fronts_of_the_own_region_are_told(self):
+        gateway = GatewayFront([ROUTE], [replica(1, "model")], fronts=30)
+        exchange = exchange_of(gateway)
+        gateway.request("/s/1", headers=LONG)
+        calls = calls_of(exchange.handle(ev.TimerFired("tell"), gateway.now))
+        serving = gateway.view.send_rights.serving["north"]
+        self.assertLessEqual(len(calls), min(len(serving), MOST_PEERS))
+        self.assertGreater(len(calls), 0)
+
+    def test_prompts_of_a_front_without_peers_are_not_kept_for_ever(self):
+        for _ in range(600):
+            self.one.request("/s/1", headers=SHORT)
+        self.assertLessEqual(len(self.one.decision.take_sent_prompts()), 256)
+
+
+class Loads(unittest.TestCase):
+    def test_all_peers_count_together(self):
+        loads = PeerLoads()
+        loads.take("a", "1", 1, {"r": Use(2, 100)}, 0.0)
+        loads.take("b", "1", 1, {"r": Use(3, 50)}, 0.0)
+        self.assertEqual(loads.at_replica("r", 0.1), Use(5, 150))
+        self.assertEqual(loads.at_replica("other", 0.1), NO_USE)
+
+    def test_a_silent_peer_lapses(self):
+        loads = PeerLoads()
+        loads.take("a", "1", 1, {"r": Use(2, 100)}, 0.0)
+        self.assertEqual(loads.at_replica("r", STALE_S + 0.1), NO_USE)
+
+    def test_an_older_message_changes_nothing_and_a_restart_begins_anew(self):
+        loads = PeerLoads()
+        self.assertTrue(loads.take("a", "1", 7, {"r": Use(2, 100)}, 0.0))
+        self.assertFalse(loads.take("a", "1", 6, {}, 0.0))
+        self.assertEqual(loads.at_replica("r", 0.1).running, 2)
+        self.assertTrue(loads.take("a", "2", 1, {}, 0.2))
+        self.assertEqual(loads.at_replica("r", 0.3), NO_USE)
+
+    def test_fronts_that_have_gone_are_forgotten(self):
+        loads = PeerLoads()
+        loads.take("a", "1", 1, {"r": Use(2, 100)}, 0.0)
+        loads.forget_except(frozenset({"b"}))
+        self.assertEqual(loads.at_replica("r", 0.1), NO_USE)
+
+
+class Wire(unittest.TestCase):
+    def test_parts_and_tokens_of_different_number_are_cut_to_the_shorter(self):
+        gateway = GatewayFront([ROUTE], [replica(1, "model")])
+        exchange = exchange_of(gateway)
+        message = FrontUse("front-2", "1", 1, [ReplicaUse("model-1", 1, 10)], [])
+        exchange.handle(ev.CallArrived(1, "front-2", message), gateway.now)
+        self.assertEqual(gateway.decision.peers.at_replica("model-1", gateway.now).running, 1)
+        parts = (PromptPart("shared", 10),)
+        self.assertEqual(gateway.decision.prefixes.missing("model-1", parts, gateway.now), 10)
