--- a/rooklug/gateway/build.py
+++ b/rooklug/gateway/build.py
@@ -54,6 +54,7 @@
     from rooklug.gateway.demand import DemandReporter
     from rooklug.gateway.directory import Directory
     from rooklug.gateway.lifecycle import Lifecycle
+    from rooklug.gateway.peer_exchange import PeerExchange
     from rooklug.gateway.view_keeper import GatewayViewKeeper
 
     core_link = CoreLink(settings, context)
@@ -75,7 +76,8 @@
             executor,
             lifecycle,
             Directory(dialect, keeper, lifecycle, settings.http_address, limits.directory_ttl_s),
-            DemandReporter(settings, context, core_link),
+            DemandReporter(settings, context, core_link, executor.decision),
+            PeerExchange(settings, context, executor.decision),
         ]
     )
 
--- a/rooklug/gateway/executor.py
+++ b/rooklug/gateway/executor.py
@@ -89,6 +89,11 @@
         self._watching = False
         self.figures = GatewayFigures()
 
+    @property
+    def decision(self) -> Decision:
+        """The decision object that it asks."""
+        return self._decision
+
     def active(self) -> int:
         """Return how many requests are under way."""
         return len(self._by_http)
@@ -145,7 +150,7 @@
         self._by_http[request.http_id] = passage
         self._budget(passage).count_request(now)
         return [
-            Notify(RequestCounted(request, passage.service.name)),
+            Notify(RequestCounted(request, passage.service.name, route.name)),
             *self._send(passage, now),
             *self._start_watch(),
         ]
