--- a/rooklug/gateway/directory.py
+++ b/rooklug/gateway/directory.py
@@ -8,6 +8,7 @@
 from rooklug.gateway.dialect import EdgeDialect, WhereQuestion
 from rooklug.gateway.lifecycle import Lifecycle
 from rooklug.gateway.serving_fronts import serving_fronts
+from rooklug.gateway.view import GatewayView
 from rooklug.gateway.view_keeper import GatewayViewKeeper
 from rooklug.wire.generated.control.ttypes import NodeRecord
 
@@ -19,6 +20,8 @@
 CHANGING_TTL_S = 0.5
 """How long other answers hold: fronts come and go at this moment."""
 MOST_ANSWERS_KEPT = 64
+NEAR_WEIGHT = 8
+"""How often a near front stands in an answer beside one of another region."""
 _JSON = {"content-type": "application/json"}
 
 
@@ -75,25 +78,39 @@
         return fx.HttpRespond(event.request_id, 503 if reason else 200, body, _JSON)
 
     def _addresses(self, question: WhereQuestion) -> list[str]:
-        fronts = self._keeper.view.ready_fronts
-        if not fronts:
-            return [self._own_address] if not self._lifecycle.reason_not_ready() else []
         view = self._keeper.view
-        nearest = _nearest(fronts, question, self._homes(question), view.core_machines)
-        return sorted(node.http_address for node in nearest)
+        if not view.ready_fronts:
+            return [self._own_address] if not self._lifecycle.reason_not_ready() else []
+        return addresses_for(question.region, self._homes(question), view)
 
     def _homes(self, question: WhereQuestion) -> frozenset[str]:
         configuration = self._keeper.view.configuration
         return configuration.hosts_home(question.host) if configuration else frozenset()
 
 
-def _nearest(
-    fronts: list[NodeRecord],
-    question: WhereQuestion,
-    homes: frozenset[str],
-    core_machines: frozenset[str],
-) -> list[NodeRecord]:
-    """Return the fronts that take the traffic of the nearest allowed region."""
-    allowed = [node for node in fronts if not homes or node.region in homes] or fronts
-    in_region = [node for node in allowed if node.region == question.region]
-    return serving_fronts(in_region or allowed, core_machines)
+def addresses_for(region: str, homes: frozenset[str], view: GatewayView) -> list[str]:
+    """Return where clients of a region go: its serving fronts, and one front elsewhere.
+
+    Clients choose among the addresses at random and pass over those that fail. When a whole
+    region is lost they can't ask again, since they ask near nodes first: the front of another
+    region is then the one that is left. Near ones stand in the answer several times, so that
+    few clients go the long way while all is well.
+    """
+    allowed = [node for node in view.ready_fronts if not homes or node.region in homes]
+    allowed = allowed or list(view.ready_fronts)
+    near = [node for node in allowed if node.region == region]
+    nearest = serving_fronts(near or allowed, view.core_machines)
+    far = _backup(region, [node for node in allowed if node.region != region] if near else [], view)
+    weight = max(1, (MAX_ADDRESSES - len(far)) // max(len(nearest), 1))
+    times = min(NEAR_WEIGHT, weight) if far else 1
+    return sorted(node.http_address for node in nearest) * times + far
+
+
+def _backup(region: str, others: list[NodeRecord], view: GatewayView) -> list[str]:
+    """Return the address of a front in the region that comes next by name, if there is one."""
+    regions = sorted({node.region for node in others})
+    if not regions:
+        return []
+    following = [name for name in regions if name > region] or regions
+    there = [node for node in others if node.region == following[0]]
+    return [serving_fronts(there, view.core_machines)[0].http_address]
--- a/rooklug/gateway/executor.py
+++ b/rooklug/gateway/executor.py
@@ -30,8 +30,10 @@
 DEADLINE_SLACK_S = 0.03
 LEAST_TIME_TO_SEND_S = 0.01
 MAX_UNSENT_TRIES = 4
-# A front that starts has usually heard of everything after this time.
-USUAL_START_S = 1.0
+# When everything starts together, a front knows the configuration after this time; measured at
+# 1.2 s with 91 machines. Clients come back once, so rather later than too early, and not at once.
+USUAL_START_S = 1.6
+START_SPREAD_S = 0.6
 LEAST_RETRY_AFTER_S = 0.3
 RETRY_AFTER_FULL_S = 0.5
 # Clients wait for at most a third of their time: what is asked must be less.
@@ -139,7 +141,8 @@
         request = read_request(event, self._names)
         configuration = self._decision.view.configuration
         if configuration is None or not self._decision.view.is_listed:
-            wait_s = self._started_at + USUAL_START_S - now
+            ready_at = self._started_at + USUAL_START_S + START_SPREAD_S * request.draw
+            wait_s = ready_at - now
             return self._refuse(request, GatewayError.NOT_READY, wait_s)
         route = configuration.find(request.host, request.path)
         if route is None:
--- a/rooklug_lab/policy/clients.py
+++ b/rooklug_lab/policy/clients.py
@@ -6,8 +6,8 @@
 
 from rooklug.engine import effects as fx
 from rooklug.engine import events as ev
+from rooklug.gateway.directory import addresses_for
 from rooklug.gateway.executor import LISTENER
-from rooklug.gateway.serving_fronts import serving_fronts
 from rooklug_lab.gateway.dialect import NAMES
 from rooklug_lab.policy.arrivals import ClientRequest
 from rooklug_lab.policy.credit import Outcome
@@ -211,11 +211,15 @@
         return known[1]
 
     def _ask_directory(self, request: ClientRequest) -> list["EmulatedFront"]:
-        homes = request.kind.homes
-        fronts = self.world.control.view.ready_fronts
-        allowed = [node for node in fronts if not homes or node.region in homes] or fronts
-        near = [node for node in allowed if node.region == request.zone.region] or allowed
-        return [self.world.fronts[node.node_id] for node in serving_fronts(near, frozenset())]
+        """Ask a near node; without any that runs, the earlier answer holds on."""
+        region = request.zone.region
+        near = [front for front in self.world.fronts.values() if front.zone.region == region]
+        known = self._directory.get((region, request.kind.name))
+        if known is not None and not any(front.up for front in near):
+            return known[1]
+        view = self.world.control.view
+        addresses = addresses_for(region, frozenset(request.kind.homes), view)
+        return [self.world.front_at(address) for address in addresses]
 
     def _delay_s(self, request: ClientRequest, front: "EmulatedFront") -> float:
         network = self.world.network
--- a/rooklug_lab/policy/faults.py
+++ b/rooklug_lab/policy/faults.py
@@ -51,6 +51,11 @@
         world.at(9.0, lambda n=name: world.front_ends(n, False, 3.5))
 
 
+def machines_lose_power(world: "PolicyWorld", random: Random) -> None:
+    """Every front loses power and returns; the replicas run on."""
+    world.at(20.0, lambda: world.machines_end(1.5))
+
+
 def all_lose_power(world: "PolicyWorld", random: Random) -> None:
     """Every front and replica loses power and returns."""
     world.at(20.0, lambda: world.everything_ends(1.5))
@@ -65,6 +70,7 @@
         region_is_lost,
         zone_returns_cold,
         fronts_are_killed,
+        machines_lose_power,
         all_lose_power,
     )
 }
--- a/rooklug_lab/policy/world.py
+++ b/rooklug_lab/policy/world.py
@@ -34,6 +34,7 @@
         self.usage = Usage()
         self.network = PolicyNetwork(site.delays, self.usage)
         self.fronts: dict[str, EmulatedFront] = {}
+        self._front_at: dict[str, EmulatedFront] = {}
         self.clients = EmulatedClients(self)
         self._replicas: dict[str, EmulatedReplica] = {}
         self._starts = 0
@@ -80,7 +81,7 @@
 
     def front_at(self, address: str) -> EmulatedFront:
         """Return the front at an address."""
-        return next(front for front in self.fronts.values() if front.address == address)
+        return self._front_at[address]
 
     def running_replicas(self) -> list[EmulatedReplica]:
         """Return the replicas that run, by address."""
@@ -177,6 +178,11 @@
             if replica.zone.region == region:
                 self.replica_ends(replica.address, True, for_s)
 
+    def machines_end(self, for_s: float) -> None:
+        """Let all fronts lose power; replicas run on."""
+        for name in list(self.fronts):
+            self.front_ends(name, True, for_s)
+
     def everything_ends(self, for_s: float) -> None:
         """Let everything lose power."""
         for region in sorted({zone.region for zone in self.site.zones}):
@@ -221,6 +227,7 @@
                 address = f"10.{number}.0.{place}:80"
                 build = self._builder(name, zone)
                 self.fronts[name] = EmulatedFront(name, address, zone, self, build)
+                self._front_at[address] = self.fronts[name]
 
     def _builder(self, name: str, zone: ZoneShape):
         def build(random: Random, identifiers: Identifiers) -> GatewayExecutor:
--- a/tests/test_gateway_executor.py
+++ b/tests/test_gateway_executor.py
@@ -62,6 +62,22 @@
         (answer,) = self.front.request("/pay/1")
         self.assertEqual(answer.status, 503)
 
+    def test_clients_of_a_front_that_starts_come_back_when_it_should_be_ready(self):
+        self.front.decision.view = type(self.front.view)()
+        began = self.front.now
+        self.front.handle(ev.Started())
+        patient = {NAMES.deadline_ms: "15000"}
+        waits = set()
+        for _ in range(20):
+            (answer,) = self.front.request("/pay/1", headers=patient)
+            waits.add(float(answer.headers["retry-after"]))
+        self.assertGreaterEqual(min(waits), 1.6)
+        self.assertLessEqual(max(waits), 2.2)
+        self.assertGreater(len(waits), 10)
+        self.front.now = began + 1.5
+        (answer,) = self.front.request("/pay/1", headers=patient)
+        self.assertLess(float(answer.headers["retry-after"]), 0.75)
+
     def test_a_client_that_leaves_ends_the_replicas_work(self):
         (call,) = self.front.request("/s/1")
         http_id = next(iter(self.front.executor._by_http))
