--- a/rooklug/gateway/dialect.py
+++ b/rooklug/gateway/dialect.py
@@ -22,7 +22,6 @@
     model: str = "rooklug-model"
     priority: str = "rooklug-priority"
     resume_after: str = "last-event-id"
-    load: str = "rooklug-load"
 
 
 @attrs.frozen
--- a/rooklug/gateway/directory.py
+++ b/rooklug/gateway/directory.py
@@ -20,6 +20,8 @@
 CHANGING_TTL_S = 0.5
 """How long other answers hold: fronts come and go at this moment."""
 MOST_ANSWERS_KEPT = 64
+FAR_FRONTS = 1
+"""How many fronts of another region an answer names."""
 NEAR_WEIGHT = 8
 """How often a near front stands in an answer beside one of another region."""
 _JSON = {"content-type": "application/json"}
@@ -107,10 +109,11 @@
 
 
 def _backup(region: str, others: list[NodeRecord], view: GatewayView) -> list[str]:
-    """Return the address of a front in the region that comes next by name, if there is one."""
+    """Return an address in the region that comes next by name, if there is one."""
     regions = sorted({node.region for node in others})
     if not regions:
         return []
     following = [name for name in regions if name > region] or regions
     there = [node for node in others if node.region == following[0]]
-    return [serving_fronts(there, view.core_machines)[0].http_address]
+    chosen = serving_fronts(there, view.core_machines)[:FAR_FRONTS]
+    return [node.http_address for node in chosen]
--- a/rooklug_lab/policy/command.py
+++ b/rooklug_lab/policy/command.py
@@ -3,15 +3,21 @@
 import argparse
 import json
 import sys
+from pathlib import Path
 
 import attrs
 
 from rooklug_lab.policy.experiment import Case, Played, difference, play_all
 from rooklug_lab.policy.faults import DAYS
+from rooklug_lab.policy.mechanisms import MECHANISMS
+from rooklug_lab.policy.plots import plot_run
 from rooklug_lab.policy.settings import Setting, SettingError, read_setting
-from rooklug_lab.policy.shapes import site_names
+from rooklug_lab.policy.shapes import read_site, site_names
+from rooklug_lab.policy.tables import by_kind, by_region, by_second, table
+from rooklug_lab.policy.world import PolicyWorld
 
 DEFAULT_WORKERS = 4
+DEFAULT_SITE = "three-regions"
 
 
 def add_policy_command(commands: argparse._SubParsersAction) -> None:
@@ -26,12 +32,21 @@
     compare = verbs.add_parser("compare", help="the same seeds with and without a change")
     _add_cases(compare)
     compare.add_argument("--set", action="append", default=[], metavar="MODULE.NAME=VALUE")
+    compare.add_argument("--without", default="", help=", ".join(MECHANISMS))
     compare.set_defaults(run=_compare)
+    ablate = verbs.add_parser("ablate", help="what each mechanism is worth")
+    _add_cases(ablate)
+    ablate.set_defaults(run=_ablate)
+    show = verbs.add_parser("show", help="tables of one run, and a picture of it")
+    _add_cases(show)
+    show.add_argument("--set", action="append", default=[], metavar="MODULE.NAME=VALUE")
+    show.add_argument("--plot", default="", metavar="FILE")
+    show.set_defaults(run=_show)
 
 
 def _add_cases(parser: argparse.ArgumentParser) -> None:
-    names = site_names()
-    parser.add_argument("--site", default=names[-1], help=f"several by commas: {', '.join(names)}")
+    names = ", ".join(site_names())
+    parser.add_argument("--site", default=DEFAULT_SITE, help=f"several by commas: {names}")
     parser.add_argument("--day", default="calm", help=f"several by commas: {', '.join(DAYS)}, all")
     parser.add_argument("--seeds", default="1-2", metavar="A-B")
     parser.add_argument("--load", type=float, default=1.0, help="factor of every rate")
@@ -53,7 +68,13 @@
 
 
 def _settings(arguments: argparse.Namespace) -> tuple[Setting, ...]:
-    return tuple(read_setting(text) for text in arguments.set)
+    settings = tuple(read_setting(text) for text in arguments.set)
+    name = getattr(arguments, "without", "")
+    if not name:
+        return settings
+    if name not in MECHANISMS:
+        raise SettingError(f"no mechanism {name}; there are {', '.join(MECHANISMS)}")
+    return (*settings, *MECHANISMS[name].settings)
 
 
 def _run(arguments: argparse.Namespace) -> int:
@@ -89,6 +110,44 @@
     return 0
 
 
+def _ablate(arguments: argparse.Namespace) -> int:
+    try:
+        whole = _cases(arguments, ())
+        variants = {m.name: _cases(arguments, m.settings) for m in MECHANISMS.values()}
+    except SettingError as error:
+        print(error, file=sys.stderr)
+        return 2
+    cases = [*whole, *(case for found in variants.values() for case in found)]
+    played = []
+    for result in play_all(cases, arguments.workers):
+        played.append(result.verdict.total)
+        print(f"{len(played)} of {len(cases)} runs", end="\r", file=sys.stderr, flush=True)
+    before, rest = played[: len(whole)], played[len(whole) :]
+    for number, name in enumerate(variants):
+        after = rest[number * len(whole) : (number + 1) * len(whole)]
+        worth = difference([one - two for one, two in zip(before, after, strict=True)])
+        print(f"{name:16} {worth.mean:+.4f} {worth.error:.4f} {worth.pairs:3} {worth.verdict}")
+    return 0
+
+
+def _show(arguments: argparse.Namespace) -> int:
+    try:
+        case = _cases(arguments, _settings(arguments))[0]
+    except SettingError as error:
+        print(error, file=sys.stderr)
+        return 2
+    for setting in case.settings:
+        setting.apply()
+    world = PolicyWorld(read_site(case.site), case.day, case.seed, case.load)
+    print(f"{case.label}: {world.run().total:.4f}")
+    print(table("kind", by_kind(world.outcomes)))
+    print(table("region", by_region(world.outcomes)))
+    print(table("second", by_second(world.outcomes)))
+    if arguments.plot:
+        plot_run(world.outcomes, Path(arguments.plot))
+    return 0
+
+
 def _line(played: Played) -> str:
     verdict, usage = played.verdict, played.usage
     kinds = " ".join(f"{name} {value:.2f}" for name, value in verdict.by_kind.items())
--- /dev/null
+++ b/rooklug_lab/policy/mechanisms.py
@@ -0,0 +1,80 @@
+"""Mechanisms of routing and how each is switched off, for ablation."""
+
+import attrs
+
+from rooklug_lab.policy.settings import Setting, read_setting
+
+
+@attrs.frozen
+class Mechanism:
+    """One mechanism: what it does, and the constants that switch it off."""
+
+    name: str
+    text: str
+    off: tuple[str, ...]
+
+    @property
+    def settings(self) -> tuple[Setting, ...]:
+        """The settings of an experiment without it."""
+        return tuple(read_setting(text) for text in self.off)
+
+
+_ALL = (
+    Mechanism(
+        "few-fronts",
+        "a sixteenth of a region's fronts serves, not all",
+        ("serving_fronts.FRONTS_SHARE=1.0",),
+    ),
+    Mechanism(
+        "peer-exchange",
+        "fronts of a region tell each other what is under way",
+        ("peer_exchange.MOST_PEERS=0",),
+    ),
+    Mechanism(
+        "pauses",
+        "a prompt's cost counts the streams that it makes pause",
+        ("replica_cost.PAUSE_WEIGHT=0.0",),
+    ),
+    Mechanism(
+        "lateness",
+        "waits that endanger the objective weigh more",
+        ("replica_cost.LATE_WEIGHT=0.0",),
+    ),
+    Mechanism(
+        "affinity",
+        "reading shared parts again weighs more than waiting",
+        ("replica_cost.READ_AGAIN_WEIGHT=0.0", "replica_cost.LIKELY_HELD_SHARE=1.0"),
+    ),
+    Mechanism(
+        "common-choice",
+        "the replica that all fronts agree on is preferred for a chain",
+        ("replica_cost.LIKELY_HELD_SHARE=1.0",),
+    ),
+    Mechanism(
+        "running",
+        "running requests count beside waiting tokens",
+        ("replica_cost.RUNNING_S=0.0",),
+    ),
+    Mechanism(
+        "spill",
+        "the plan sends away what a region can't read in time",
+        ("region_problem.TARGET_UTILIZATION=100.0",),
+    ),
+    Mechanism(
+        "far-front",
+        "answers of the directory name a front of another region",
+        ("directory.FAR_FRONTS=0",),
+    ),
+    Mechanism(
+        "silence",
+        "replicas that owe answers and say nothing are passed over",
+        ("replica_load.SILENCE_S=1000.0",),
+    ),
+    Mechanism(
+        "list-doubt",
+        "denied replicas cast doubt on their zone's entries",
+        ("list_doubt.DISPROVED_FOR_DOUBT=100000",),
+    ),
+)
+
+MECHANISMS: dict[str, Mechanism] = {mechanism.name: mechanism for mechanism in _ALL}
--- a/rooklug_lab/policy/replicas.py
+++ b/rooklug_lab/policy/replicas.py
@@ -17,6 +17,8 @@
 """Events of a stream go on in bundles; only the first one is passed on by itself."""
 COLD_BREAK_FACTOR = 2.5
 """A cold replica falls over at so many times the rate that it bears."""
+LOAD_HEADER = "rooklug-load"
+"""Running and waiting requests, and places; no policy reads it yet."""
 
 Deliver = Callable[[ev.Event], None]
 
@@ -219,7 +221,7 @@
             NAMES.signature: self.replica_id,
         }
         if self.service.tells_load:
-            headers[NAMES.load] = self._load()
+            headers[LOAD_HEADER] = self._load()
         return headers
 
     def _load(self) -> str:
--- a/tests/test_policy_lab.py
+++ b/tests/test_policy_lab.py
@@ -3,7 +3,9 @@
 import contextlib
 import io
 import json
+import tempfile
 import unittest
+from pathlib import Path
 
 import attrs
 
@@ -13,6 +15,7 @@
 from rooklug_lab.policy.credit import Outcome, Usage, judge
 from rooklug_lab.policy.experiment import difference
 from rooklug_lab.policy.faults import DAYS
+from rooklug_lab.policy.mechanisms import MECHANISMS
 from rooklug_lab.policy.settings import SettingError, read_setting
 from rooklug_lab.policy.shapes import PolicySite, read_site, site_names
 from rooklug_lab.policy.world import PolicyWorld
@@ -113,6 +116,29 @@
             with contextlib.redirect_stderr(io.StringIO()):
                 self.assertEqual(main(["policy", "run", *words]), 2)
 
+    def test_every_mechanism_can_be_switched_off(self):
+        for mechanism in MECHANISMS.values():
+            with self.subTest(mechanism=mechanism.name):
+                self.assertTrue(mechanism.settings)
+
+    def test_compare_without_a_mechanism_says_whether_it_is_noise(self):
+        words = ["--without", "peer-exchange", "--seeds", "1-2", "--load", "0.1"]
+        with contextlib.redirect_stdout(io.StringIO()) as printed:
+            self.assertEqual(main(["policy", "compare", *words]), 0)
+        self.assertRegex(printed.getvalue(), r"2 pairs: (noise|better|worse)")
+        with contextlib.redirect_stderr(io.StringIO()):
+            self.assertEqual(main(["policy", "compare", "--without", "nothing"]), 2)
+
+    def test_show_prints_tables_and_a_picture(self):
+        with tempfile.TemporaryDirectory() as folder:
+            picture = Path(folder, "run.png")
+            words = ["--load", "0.1", "--plot", str(picture)]
+            with contextlib.redirect_stdout(io.StringIO()) as printed:
+                self.assertEqual(main(["policy", "show", *words]), 0)
+            self.assertGreater(picture.stat().st_size, 1000)
+        for heading in ("reading ms", "north", "from 10 s"):
+            self.assertIn(heading, printed.getvalue())
+
     def test_run_prints_one_object_a_run(self):
         with contextlib.redirect_stdout(io.StringIO()) as printed:
             code = main(["policy", "run", "--seeds", "1-1", "--load", "0.1", "--json"])
