--- a/rooklug_lab/sim/mutations.py
+++ b/rooklug_lab/sim/mutations.py
@@ -212,7 +212,7 @@
             "ignore-leaving", "replica-leaves", "quiz", "leaving_gets_nothing", _ignore_leaving
         ),
         Mutation("no-slow-start", "kill-zone", "quiz", "cold_gets_a_trickle", _no_slow_start),
-        Mutation("forget-homes", "kill-zone", "quiz", "stays_home", _forget_homes),
+        Mutation("forget-homes", "kill-zone+burst", "quiz", "stays_home", _forget_homes),
         Mutation("trust-streams", "bad-streams", "quiz", "answers_are_whole", _trust_streams),
         Mutation(
             "write-again",
