--- a/rooklug/gateway/serving_fronts.py
+++ b/rooklug/gateway/serving_fronts.py
@@ -8,8 +8,8 @@
 LEAST_FRONTS = 2
 FRONTS_SHARE = 1 / 8
 """Part of a region's fronts that its clients are sent to: fewer fronts know more of the load of
-each replica and of what it holds, and keep fewer connections; the rest stand by. With half as many
-a burst of long prompts filled the links of the fronts that served (docs/decisions-under-load.md)."""
+each replica and of what it holds, and keep fewer connections; the rest stand by. With half as
+many a burst of long prompts filled the links of the fronts that served."""
 
 
 def serving_fronts(fronts: list[NodeRecord], core_machines: frozenset[str]) -> list[NodeRecord]:
