Gateway: what stood twice is computed once; dead fields of the lab go

A replica's room and its rank for a prompt were computed twice for each request; the check of the retry budget, the walk over all routes and the type of a matrix key stood twice; the cost's comments named a unit of a form that was not kept (it is seconds).

--- a/rooklug/gateway/decision.py
+++ b/rooklug/gateway/decision.py
@@ -16,6 +16,7 @@
 from rooklug.gateway.requests import PassedRequest, PromptPart
 from rooklug.gateway.view import GatewayReplica, GatewayView
 from rooklug.routing.peer_loads import PeerLoads, Use
+from rooklug.routing.send_rights import SendRight
 from rooklug.wire.generated.peers.ttypes import SentPrompt
 
 RETRY_AFTER_COLD_S = 0.5
@@ -98,14 +99,12 @@
         usable = sure or usable
         healthy = [replica for replica in usable if not self._is_ejected(replica, now)]
         healthy = [r for r in healthy if not self._load(r).is_silent(now)] or healthy
-        open_ones = [replica for replica in healthy if self._may_send(replica, service, now)]
-        if not open_ones and not healthy:
-            open_ones = [replica for replica in usable if self._may_send(replica, service, now)]
+        rooms = self._rooms(healthy or usable, service, now)
+        open_ones = [replica for replica, room in rooms if room is not Room.NONE]
         if not open_ones:
             return Refuse("replicas are cold or at their pace", RETRY_AFTER_COLD_S)
-        free = [r for r in open_ones if self._room(r, service, now) is Room.FREE]
-        open_ones = free or open_ones
-        return ServeAt(self._choose(request, route, service, open_ones, now))
+        free = [replica for replica, room in rooms if room is Room.FREE]
+        return ServeAt(self._choose(request, route, service, free or open_ones, now))
 
     def sent(
         self,
@@ -246,7 +245,7 @@
         self, request: PassedRequest, route: Route, near: list[GatewayReplica]
     ) -> CostModel:
         shared = request.parts[:-1] or request.parts
-        likely = max(near, key=lambda r: rank_of(shared, r.replica_id)).replica_id
+        ranks = {r.replica_id: rank_of(shared, r.replica_id) for r in near}
         rate = self.read_rate.tokens_per_s
         own_tokens = request.parts[-1].tokens if len(request.parts) > 1 else 0
         return CostModel(
@@ -256,21 +255,26 @@
             route.gap_objective_s,
             rate,
             self.prefixes,
-            likely,
+            ranks,
         )
 
-    def _may_send(self, replica: GatewayReplica, service: Service, now: float) -> bool:
+    def _rooms(
+        self, replicas: list[GatewayReplica], service: Service, now: float
+    ) -> list[tuple[GatewayReplica, Room]]:
+        """Return what one more request to each replica would be."""
+        rights = self.view.send_rights
+        front_id = self.cold_gate.front_id
+        by_region = {r.region: rights.towards(r.region, front_id) for r in replicas}
+        return [(r, self._room(r, service, by_region[r.region], now)) for r in replicas]
+
+    def _room(
+        self, replica: GatewayReplica, service: Service, right: SendRight, now: float
+    ) -> Room:
         rate_per_s = service.cold_rate_per_s
-        if self._room(replica, service, now) is Room.NONE:
-            return False
-        if not replica.is_cold(now):
-            return True
-        senders = self.view.send_rights.senders(replica.region)
-        return self.cold_gate.may_send(replica.replica_id, rate_per_s, senders, now)
-
-    def _room(self, replica: GatewayReplica, service: Service, now: float) -> Room:
-        rate_per_s = service.cold_rate_per_s
-        right = self.view.send_rights.towards(replica.region, self.cold_gate.front_id)
+        if replica.is_cold(now):
+            senders = self.view.send_rights.senders(replica.region)
+            if not self.cold_gate.may_send(replica.replica_id, rate_per_s, senders, now):
+                return Room.NONE
         return self.pace.room(replica.replica_id, rate_per_s, right, now)
 
     def is_silent(self, replica: GatewayReplica, now: float) -> bool:
--- a/rooklug/gateway/document.py
+++ b/rooklug/gateway/document.py
@@ -98,6 +98,10 @@
                 return route
         return None
 
+    def all_routes(self) -> list[Route]:
+        """Return the routes of all hosts."""
+        return [route for by_prefix in self.routes.values() for route in by_prefix.values()]
+
     def hosts_home(self, host: str) -> frozenset[str]:
         """Return the regions that every route of a host allows; empty: not bound."""
         homes = [frozenset(route.home_regions) for route in self.routes.get(host, {}).values()]
--- a/rooklug/gateway/executor.py
+++ b/rooklug/gateway/executor.py
@@ -177,6 +177,11 @@
             self._budgets[name] = RetryBudget(self._budget_settings)
         return self._budgets[name]
 
+    def _may_repeat(self, passage: Passage, now: float) -> bool:
+        """Tell whether this front's part of the retry budget allows one more repeat."""
+        fronts = len(self._decision.view.ready_fronts)
+        return self._budget(passage).may_repeat(fronts, now)
+
     # To the replica -------------------------------------------------------
 
     def _send(self, passage: Passage, now: float) -> list[fx.Effect]:
@@ -353,9 +358,7 @@
         return [fx.HttpStreamAbort(passage.request.http_id)]
 
     def _try_again(self, passage: Passage, now: float) -> list[fx.Effect]:
-        fronts = len(self._decision.view.ready_fronts)
-        budget = self._budget(passage)
-        if passage.may_send_again() and budget.may_repeat(fronts, now):
+        if passage.may_send_again() and self._may_repeat(passage, now):
             return self._send(passage, now)
         return self._give_up(passage, now, RETRY_AFTER_FULL_S)
 
@@ -393,8 +396,7 @@
         return self._decision.is_silent(passage.replica, now)
 
     def _move(self, passage: Passage, now: float) -> list[fx.Effect]:
-        fronts = len(self._decision.view.ready_fronts)
-        if not self._budget(passage).may_repeat(fronts, now):
+        if not self._may_repeat(passage, now):
             return []
         call_id = passage.call_id
         self._by_call.pop(call_id, None)
--- a/rooklug/gateway/region_planner.py
+++ b/rooklug/gateway/region_planner.py
@@ -15,6 +15,7 @@
 from rooklug.engine.reducer import Identifiers
 from rooklug.gateway.document import GatewayConfiguration, read_gateway_configuration
 from rooklug.gateway.notices import ReplicasListed
+from rooklug.gateway.view import MatrixKey
 from rooklug.model.notices import (
     ConfigurationCommitted,
     PrimaryStarted,
@@ -48,16 +49,12 @@
     return solve(problem)
 
 
-PlaceKey = tuple[str, str, tuple[str, ...]]
-"""Service, source region, home regions."""
-
-
 @attrs.frozen
 class _FrontDemand:
     """A front's last report: tokens/s by (service, region, homes), and how fast replicas read."""
 
     at: float
-    loads: dict[PlaceKey, float]
+    loads: dict[MatrixKey, float]
     read_tokens_per_s: float | None
 
 
@@ -124,28 +121,21 @@
         if read.is_ok():
             self._configuration = read.ok
             self._configuration_version = event.body.version
-            self._homes = {
-                route.name: tuple(route.home_regions)
-                for by_prefix in read.ok.routes.values()
-                for route in by_prefix.values()
-            }
+            self._homes = {route.name: route.home_regions for route in read.ok.all_routes()}
 
     def _report(self, event: ev.CallArrived, now: float) -> list[fx.Effect]:
         if not self._epoch:
             return [fx.Answer(event.call_id, DemandAnswer(accepted=False))]
         report = event.request
-        loads: dict[PlaceKey, float] = defaultdict(float)
+        loads: dict[MatrixKey, float] = defaultdict(float)
         for entry in report.entries:
-            key = (entry.model, entry.source_region, self._homes_of(entry.route))
+            key = (entry.model, entry.source_region, self._homes.get(entry.route, ()))
             loads[key] += (
                 entry.prompt_tokens_per_s + entry.answer_tokens_per_s + entry.requests_per_s
             )
         self._fronts[report.node_id] = _FrontDemand(now, loads, report.read_tokens_per_s)
         return [fx.Answer(event.call_id, DemandAnswer(accepted=True))]
 
-    def _homes_of(self, route_name: str) -> tuple[str, ...]:
-        return self._homes.get(route_name, ())
-
     def _solve(self, now: float) -> list[fx.Effect]:
         if self._ticket or self._configuration is None or not self._replicas:
             return []
@@ -164,8 +154,8 @@
         ]
         return sum(rates) / len(rates) if rates else None
 
-    def _measured(self, now: float) -> dict[PlaceKey, float]:
-        measured: dict[PlaceKey, float] = defaultdict(float)
+    def _measured(self, now: float) -> dict[MatrixKey, float]:
+        measured: dict[MatrixKey, float] = defaultdict(float)
         for front in self._fronts.values():
             if now - front.at <= REPORT_VALID_S:
                 for place, load in front.loads.items():
--- a/rooklug/gateway/region_problem.py
+++ b/rooklug/gateway/region_problem.py
@@ -10,6 +10,7 @@
 
 from rooklug.config.document import Model, RegionWeights, ResourceNeed, RoundTrip
 from rooklug.gateway.document import GatewayConfiguration
+from rooklug.gateway.view import MatrixKey
 from rooklug.placement.problem import (
     DemandKey,
     PlacementProblem,
@@ -31,8 +32,8 @@
 """What a slot of another service sustains; a default of ours."""
 _CLASS = "any"
 
-MeasuredLoads = dict[tuple[str, str, tuple[str, ...]], float]
-"""Tokens/s by service, source region and home regions: prompt tokens that are read, and answers.
+MeasuredLoads = dict[MatrixKey, float]
+"""Tokens/s by what the matrix is looked up with: prompt tokens that are read, and answers.
 Services without an engine count requests."""
 
 
@@ -89,10 +90,9 @@
 
     def _homes_by_service(self) -> dict[str, set[tuple[str, ...]]]:
         homes: dict[str, set[tuple[str, ...]]] = defaultdict(set)
-        for by_prefix in self.configuration.routes.values():
-            for route in by_prefix.values():
-                for share in route.shares:
-                    homes[share.service].add(tuple(route.home_regions))
+        for route in self.configuration.all_routes():
+            for share in route.shares:
+                homes[share.service].add(route.home_regions)
         return homes
 
 
--- a/rooklug/gateway/replica_cost.py
+++ b/rooklug/gateway/replica_cost.py
@@ -1,4 +1,4 @@
-"""What it would cost to send a request to a replica, in late answers.
+"""What it would cost to send a request to a replica, in seconds.
 
 An engine reads prompts between the tokens of the streams that run on it: while a backlog of
 prompts is read, every stream there pauses. So a prompt's cost at a replica has three parts: the
@@ -6,6 +6,8 @@
 objective, and the shared parts that are read again.
 """
 
+from functools import cached_property
+
 import attrs
 import xxhash
 
@@ -34,24 +36,24 @@
 
 @attrs.frozen
 class Cost:
-    """What a replica would cost, in late answers, and its rank for the prompt."""
+    """What a replica would cost, in seconds, and its rank for the prompt."""
 
     replica: GatewayReplica
-    total: float
+    total_s: float
     rank: int
 
     @property
     def order(self) -> tuple[float, int]:
         """Return what replicas are compared by: the cost, then the rank that fronts agree on."""
-        return self.total, -self.rank
+        return self.total_s, -self.rank
 
 
 @attrs.frozen
 class CostModel:
     """Costs of one request: what it shares, how long it and its neighbours may wait.
 
-    ``parts`` are shared prompt parts, ``own_tokens`` the rest of the prompt, ``likely`` is the
-    replica that every front would choose, and ``tokens_per_s`` is the rate at which replicas read.
+    ``parts`` are shared prompt parts, ``own_tokens`` the rest of the prompt, ``ranks`` are the
+    replicas' ranks for these parts, and ``tokens_per_s`` is the rate at which replicas read.
     """
 
     parts: tuple[PromptPart, ...]
@@ -60,7 +62,12 @@
     gap_s: float
     tokens_per_s: float
     prefixes: PrefixTable
-    likely: str
+    ranks: dict[str, int]
+
+    @cached_property
+    def likely(self) -> str:
+        """The replica that every front would choose."""
+        return max(self.ranks, key=self.ranks.__getitem__)
 
     def of(self, replica: GatewayReplica, load: Use, now: float) -> Cost:
         """Return the cost of one replica."""
@@ -72,13 +79,13 @@
         late_s = max(after_s - self.objective_s * PATIENCE_SHARE, 0.0)
         pause_s = (self.gap_s or USUAL_GAP_S) * PAUSE_SHARE
         paused_s = max(after_s - pause_s, 0.0) - max(before_s - pause_s, 0.0)
-        total = (
+        total_s = (
             after_s
             + again_s * READ_AGAIN_WEIGHT
             + late_s * LATE_WEIGHT
             + load.running * (RUNNING_S + paused_s * PAUSE_WEIGHT)
         )
-        return Cost(replica, total, rank_of(self.parts, replica.replica_id))
+        return Cost(replica, total_s, self.ranks[replica.replica_id])
 
 
 def rank_of(parts: tuple[PromptPart, ...], replica_id: str) -> int:
--- a/rooklug_lab/policy/clients.py
+++ b/rooklug_lab/policy/clients.py
@@ -35,8 +35,6 @@
     sent_at: float
     front: "EmulatedFront"
     generation: int
-    status: int = 0
-    retry_after_s: float = 0.0
     last_piece_at: float = 0.0
 
 
--- a/rooklug_lab/policy/control.py
+++ b/rooklug_lab/policy/control.py
@@ -36,6 +36,7 @@
     VersionMark,
     ZonesBody,
 )
+from rooklug_lab.gateway.replicas import ENDED_LISTED_S, LIST_LAG_S
 from rooklug_lab.policy.document import document_of
 
 if TYPE_CHECKING:
@@ -43,8 +44,6 @@
     from rooklug_lab.policy.replicas import EmulatedReplica
     from rooklug_lab.policy.world import PolicyWorld
 
-LIST_LAG_S = 0.8
-ENDED_LISTED_S = 3.0
 DISTRIBUTION_S = 0.1
 SOLVE_S = 0.1
 MEMBERS_STEP_S = 0.1
--- a/rooklug_lab/policy/credit.py
+++ b/rooklug_lab/policy/credit.py
@@ -30,7 +30,6 @@
     waiting_s: float = 0.0
     reading_s: float = 0.0
     tokens_again: int = 0
-    replica_region: str = ""
 
     @property
     def owed(self) -> float:
--- a/rooklug_lab/policy/fronts.py
+++ b/rooklug_lab/policy/fronts.py
@@ -47,7 +47,6 @@
     world: "PolicyWorld"
     build: Callable[[Random, Identifiers], GatewayExecutor]
     up: bool = True
-    ready: bool = True
     dark: bool = False
     generation: int = 0
     executor: GatewayExecutor | None = None
@@ -74,7 +73,6 @@
     def end(self, dark: bool) -> None:
         """Stop at once; what ran at replicas is closed."""
         self.up = False
-        self.ready = False
         self.dark = dark
         for call in list(self._calls.values()):
             self._cancel(call)
--- a/rooklug_lab/policy/replicas.py
+++ b/rooklug_lab/policy/replicas.py
@@ -38,7 +38,6 @@
     told_at: float = -1.0
     told_events: int = 0
     after_event: int = 0
-    missing_kept_elsewhere: int = 0
 
 
 @attrs.define(eq=False)
