A decision looks at a bounded number of replicas in a large pool

Change: in a region with more than 16 usable replicas a decision looks at those that hold the prompt's last shared part, its owner on a hash ring, and six drawn by lot; all of them only if none of these is sound and free. Regions are chosen in region_order.py, the class of a replica has a module of its own. Tests: tests.test_gateway_replica_pool. Conclusion: kept; regions of up to 16 replicas are as before.

--- a/rooklug/gateway/decision.py
+++ b/rooklug/gateway/decision.py
@@ -10,11 +10,14 @@
 from rooklug.gateway.list_doubt import ListDoubt
 from rooklug.gateway.prefix_table import PrefixTable
 from rooklug.gateway.read_rate import ReadRate
+from rooklug.gateway.region_order import region_order
 from rooklug.gateway.replica_cost import CostModel, rank_of
 from rooklug.gateway.replica_load import ReplicaLoad
 from rooklug.gateway.replica_pace import ReplicaPace, Room
+from rooklug.gateway.replica_pool import MOST_HOLDERS
+from rooklug.gateway.replicas import GatewayReplica
 from rooklug.gateway.requests import PassedRequest, PromptPart
-from rooklug.gateway.view import GatewayReplica, GatewayView
+from rooklug.gateway.view import GatewayView
 from rooklug.routing.peer_loads import PeerLoads, Use
 from rooklug.routing.send_rights import SendRight
 from rooklug.wire.generated.peers.ttypes import SentPrompt
@@ -86,6 +89,53 @@
         now: float,
     ) -> Verdict:
         """Return where the request goes now."""
+        order = region_order(self.view, self.region, request, route, service)
+        chosen = self._among_some(request, route, service, order[0], tried, now)
+        if chosen is not None:
+            return ServeAt(chosen)
+        return self._among_all(request, route, service, order, tried, now)
+
+    def _among_some(
+        self,
+        request: PassedRequest,
+        route: Route,
+        service: Service,
+        region: str,
+        tried: frozenset[str],
+        now: float,
+    ) -> GatewayReplica | None:
+        """Choose in a large pool without looking at all of it; None if that finds nothing sound."""
+        if route.home_regions and region not in route.home_regions:
+            return None
+        pool = self.view.pool(service.name, region)
+        if not pool.is_large:
+            return None
+        part_id = self._shared_parts(request)[-1].part_id if request.parts else ""
+        owner = pool.ring.owner(part_id)
+        found = pool.some(owner, self.prefixes.users(part_id, MOST_HOLDERS), self.random)
+        sound = [r for r in found if r.replica_id not in tried and self._is_sound(r, now)]
+        free = [r for r, room in self._rooms(sound, service, now) if room is Room.FREE]
+        if not free:
+            return None
+        return self._cheapest(request, route, free, now, owner)
+
+    def _is_sound(self, replica: GatewayReplica, now: float) -> bool:
+        """Tell whether nothing speaks against a listed replica."""
+        replica_id = replica.replica_id
+        if self.doubt.is_gone(replica_id) or self.doubt.is_doubtful(replica_id, replica.zone):
+            return False
+        return not (self._is_ejected(replica, now) or self._load(replica).is_silent(now))
+
+    def _among_all(
+        self,
+        request: PassedRequest,
+        route: Route,
+        service: Service,
+        order: tuple[str, ...],
+        tried: frozenset[str],
+        now: float,
+    ) -> Verdict:
+        """Choose among all replicas, the least bad ones where no sound one is free."""
         usable = [
             replica
             for replica in self.view.usable(service.name, route.home_regions)
@@ -104,7 +154,8 @@
         if not open_ones:
             return Refuse("replicas are cold or at their pace", RETRY_AFTER_COLD_S)
         free = [replica for replica, room in rooms if room is Room.FREE]
-        return ServeAt(self._choose(request, route, service, free or open_ones, now))
+        near = _in_first_region(order, free or open_ones)
+        return ServeAt(self._cheapest(request, route, near, now))
 
     def sent(
         self,
@@ -191,60 +242,33 @@
         self.prefixes.forget_except(listed)
         self.doubt.take_list(listed)
 
-    def _region_levels(
-        self, request: PassedRequest, route: Route, service: Service
-    ) -> list[frozenset[str]]:
-        """Return regions to try in order: by the plan, else the own one and then any."""
-        shares = self.view.region_shares(service.name, self.region, route.home_regions)
-        levels: list[frozenset[str]] = []
-        first = [share for share in shares if share.preference == 0 and share.weight > 0]
-        total = sum(share.weight for share in first)
-        left = request.draw * total
-        for share in first:
-            left -= share.weight
-            if left < 0:
-                levels.append(frozenset({share.region}))
-                break
-        levels.append(frozenset({self.region}))
-        return levels
-
-    def _choose(
+    def _cheapest(
         self,
         request: PassedRequest,
         route: Route,
-        service: Service,
-        open_ones: list[GatewayReplica],
+        candidates: list[GatewayReplica],
         now: float,
+        owner: str | None = None,
     ) -> GatewayReplica:
-        """Return a replica in the region that the plan names."""
-        near = self._in_first_region(request, route, service, open_ones)
+        """Return the best of the candidates; ``owner`` is whom all fronts agree on, if known."""
         if not (route.affinity and request.parts):
-            return self._least_running(near, now)
-        model = self._cost_model(request, route, near)
-        costs = [model.of(replica, self._use(replica, now), now) for replica in near]
+            return self._least_running(candidates, now)
+        model = self._cost_model(request, route, candidates, owner)
+        costs = [model.of(replica, self._use(replica, now), now) for replica in candidates]
         return min(costs, key=lambda cost: cost.order).replica
 
-    def _in_first_region(
-        self,
-        request: PassedRequest,
-        route: Route,
-        service: Service,
-        open_ones: list[GatewayReplica],
-    ) -> list[GatewayReplica]:
-        for level in self._region_levels(request, route, service):
-            candidates = [replica for replica in open_ones if replica.region in level]
-            if candidates:
-                return candidates
-        return open_ones
-
     def _least_running(self, candidates: list[GatewayReplica], now: float) -> GatewayReplica:
         uses = {r.replica_id: self._use(r, now).running for r in candidates}
         return min(candidates, key=lambda r: (uses[r.replica_id], r.zone != self.zone, self._tie()))
 
     def _cost_model(
-        self, request: PassedRequest, route: Route, near: list[GatewayReplica]
+        self,
+        request: PassedRequest,
+        route: Route,
+        near: list[GatewayReplica],
+        owner: str | None,
     ) -> CostModel:
-        shared = request.parts[:-1] or request.parts
+        shared = self._shared_parts(request)
         ranks = {r.replica_id: rank_of(shared, r.replica_id) for r in near}
         rate = self.read_rate.tokens_per_s
         own_tokens = request.parts[-1].tokens if len(request.parts) > 1 else 0
@@ -256,8 +280,13 @@
             rate,
             self.prefixes,
             ranks,
+            owner or max(ranks, key=ranks.__getitem__),
         )
 
+    def _shared_parts(self, request: PassedRequest) -> tuple[PromptPart, ...]:
+        """Return the parts of a prompt that other prompts may begin with, too."""
+        return request.parts[:-1] or request.parts
+
     def _rooms(
         self, replicas: list[GatewayReplica], service: Service, now: float
     ) -> list[tuple[GatewayReplica, Room]]:
@@ -301,3 +330,14 @@
 
     def _tie(self) -> float:
         return self.random.random()
+
+
+def _in_first_region(
+    order: tuple[str, ...], replicas: list[GatewayReplica]
+) -> list[GatewayReplica]:
+    """Return the replicas of the first region of ``order`` that has any, else all."""
+    for region in order:
+        near = [replica for replica in replicas if replica.region == region]
+        if near:
+            return near
+    return replicas
--- /dev/null
+++ b/rooklug/gateway/region_order.py
@@ -0,0 +1,19 @@
+"""In which region a request is served: by the plan's matrix, else the front's own."""
+
+from rooklug.gateway.document import Route, Service
+from rooklug.gateway.requests import PassedRequest
+from rooklug.gateway.view import GatewayView
+
+
+def region_order(
+    view: GatewayView, region: str, request: PassedRequest, route: Route, service: Service
+) -> tuple[str, ...]:
+    """Return the regions to try in order, for a front of ``region``; after them any will do."""
+    shares = view.region_shares(service.name, region, route.home_regions)
+    first = [share for share in shares if share.preference == 0 and share.weight > 0]
+    left = request.draw * sum(share.weight for share in first)
+    for share in first:
+        left -= share.weight
+        if left < 0:
+            return (share.region, region)
+    return (region,)
--- a/rooklug/gateway/replica_cost.py
+++ b/rooklug/gateway/replica_cost.py
@@ -6,14 +6,12 @@
 objective, and the shared parts that are read again.
 """
 
-from functools import cached_property
-
 import attrs
 import xxhash
 
 from rooklug.gateway.prefix_table import PrefixTable
+from rooklug.gateway.replicas import GatewayReplica
 from rooklug.gateway.requests import PromptPart
-from rooklug.gateway.view import GatewayReplica
 from rooklug.routing.peer_loads import Use
 
 READ_AGAIN_WEIGHT = 2.0
@@ -53,7 +51,8 @@
     """Costs of one request: what it shares, how long it and its neighbours may wait.
 
     ``parts`` are shared prompt parts, ``own_tokens`` the rest of the prompt, ``ranks`` are the
-    replicas' ranks for these parts, and ``tokens_per_s`` is the rate at which replicas read.
+    replicas' ranks for these parts, ``likely`` is the replica that every front would choose, and
+    ``tokens_per_s`` is the rate at which replicas read.
     """
 
     parts: tuple[PromptPart, ...]
@@ -63,11 +62,7 @@
     tokens_per_s: float
     prefixes: PrefixTable
     ranks: dict[str, int]
-
-    @cached_property
-    def likely(self) -> str:
-        """The replica that every front would choose."""
-        return max(self.ranks, key=self.ranks.__getitem__)
+    likely: str
 
     def of(self, replica: GatewayReplica, load: Use, now: float) -> Cost:
         """Return the cost of one replica."""
--- a/rooklug/gateway/view.py
+++ b/rooklug/gateway/view.py
@@ -5,6 +5,8 @@
 import attrs
 
 from rooklug.gateway.document import GatewayConfiguration
+from rooklug.gateway.replica_pool import RegionPool
+from rooklug.gateway.replicas import GatewayReplica
 from rooklug.gateway.serving_fronts import serving_fronts
 from rooklug.routing.send_rights import SendRights
 from rooklug.wire.generated.control.ttypes import NodeRecord, RouteWeight
@@ -12,24 +14,6 @@
 FRONT_ROLE = "front"
 
 
-@attrs.frozen
-class GatewayReplica:
-    """A listed replica. ``cold_until``: monotonic end of its slow start, 0 when it is warm."""
-
-    replica_id: str
-    address: str
-    service: str
-    region: str
-    zone: str
-    slots: int
-    leaving: bool
-    cold_until: float = 0.0
-
-    def is_cold(self, now: float) -> bool:
-        """Tell whether it bears only its cold rate."""
-        return now < self.cold_until
-
-
 @attrs.frozen
 class RegionShare:
     """A cell of the routing matrix: preference 0 comes first."""
@@ -57,6 +41,7 @@
     fronts: tuple[NodeRecord, ...] = ()
     core_machines: frozenset[str] = frozenset()
     matrix: dict[MatrixKey, tuple[RegionShare, ...]] = attrs.field(factory=dict)
+    _pools: dict[tuple[str, str], RegionPool] = attrs.field(factory=dict, init=False, eq=False)
 
     def usable(self, service: str, homes: tuple[str, ...]) -> list[GatewayReplica]:
         """Return the replicas that may get requests at all."""
@@ -68,6 +53,13 @@
             and (not homes or replica.region in homes)
         ]
 
+    def pool(self, service: str, region: str) -> RegionPool:
+        """Return the usable replicas of a service in one region; built once for a view."""
+        key = (service, region)
+        if key not in self._pools:
+            self._pools[key] = RegionPool(tuple(self.usable(service, (region,))))
+        return self._pools[key]
+
     def region_shares(
         self, service: str, region: str, homes: tuple[str, ...]
     ) -> tuple[RegionShare, ...]:
--- a/rooklug_lab/policy/command.py
+++ b/rooklug_lab/policy/command.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from rooklug_lab.policy.decision_cost import SIZES, measure_decision
 from rooklug_lab.policy.experiment import Case, Played, difference, play_all
 from rooklug_lab.policy.faults import DAYS
 from rooklug_lab.policy.mechanisms import MECHANISMS
@@ -42,6 +43,9 @@
     show.add_argument("--set", action="append", default=[], metavar="MODULE.NAME=VALUE")
     show.add_argument("--plot", default="", metavar="FILE")
     show.set_defaults(run=_show)
+    cost = verbs.add_parser("cost", help="processor time of one decision by number of replicas")
+    cost.add_argument("--replicas", default=",".join(map(str, SIZES)), metavar="N,N,...")
+    cost.set_defaults(run=_cost)
 
 
 def _add_cases(parser: argparse.ArgumentParser) -> None:
@@ -110,6 +114,13 @@
     return 0
 
 
+def _cost(arguments: argparse.Namespace) -> int:
+    for count in arguments.replicas.split(","):
+        cost = measure_decision(int(count))
+        print(f"{cost.replicas:5} replicas: {cost.seconds * 1000:.3f} ms a decision", flush=True)
+    return 0
+
+
 def _ablate(arguments: argparse.Namespace) -> int:
     try:
         whole = _cases(arguments, ())
--- /dev/null
+++ b/tests/test_gateway_replica_pool.py
@@ -0,0 +1,121 @@
+"""A large pool of replicas is chosen from without looking at all of it."""
+
+import unittest
+from collections import Counter
+from random import Random
+
+from rooklug.gateway.prefix_table import PrefixTable
+from rooklug.gateway.replica_pool import DRAWN, SMALL_POOL, RegionPool
+from rooklug.gateway.replicas import GatewayReplica
+from rooklug.gateway.requests import PromptPart
+from rooklug.routing.hash_ring import HashRing
+from rooklug_lab.policy.decision_cost import measure_decision
+
+SEEDS = range(20)
+
+
+def replica(number: int, region: str = "north") -> GatewayReplica:
+    return GatewayReplica(
+        f"replica-{number}", f"10.0.0.{number}:80", "model", region, "zone", 64, False
+    )
+
+
+def pool_of(size: int) -> RegionPool:
+    return RegionPool(tuple(replica(number) for number in range(size)))
+
+
+class Rings(unittest.TestCase):
+    def test_fronts_agree_whatever_the_order_of_their_lists(self):
+        names = [f"replica-{number}" for number in range(40)]
+        one = HashRing.of(names)
+        other = HashRing.of(reversed(names))
+        for number in range(200):
+            self.assertEqual(one.owner(f"part-{number}"), other.owner(f"part-{number}"))
+
+    def test_a_member_that_leaves_moves_only_its_own_keys(self):
+        names = [f"replica-{number}" for number in range(40)]
+        before, after = HashRing.of(names), HashRing.of(names[1:])
+        for number in range(500):
+            key = f"part-{number}"
+            if before.owner(key) != names[0]:
+                self.assertEqual(before.owner(key), after.owner(key))
+
+    def test_no_member_owns_far_more_than_its_share(self):
+        names = [f"replica-{number}" for number in range(40)]
+        owned = Counter(HashRing.of(names).owner(f"part-{number}") for number in range(8_000))
+        self.assertEqual(40, len(owned))
+        self.assertLess(max(owned.values()), 3 * 8_000 / 40)
+
+    def test_an_empty_ring_has_no_owner(self):
+        self.assertIsNone(HashRing.of([]).owner("part"))
+
+
+class Pools(unittest.TestCase):
+    def test_a_small_pool_is_looked_at_whole(self):
+        self.assertFalse(pool_of(SMALL_POOL).is_large)
+        self.assertTrue(pool_of(SMALL_POOL + 1).is_large)
+
+    def test_the_owner_and_the_holders_are_always_among_the_candidates(self):
+        pool = pool_of(200)
+        for seed in SEEDS:
+            found = pool.some("replica-7", ["replica-11", "replica-12"], Random(seed))
+            names = [candidate.replica_id for candidate in found]
+            self.assertEqual(len(names), len(set(names)))
+            self.assertLessEqual({"replica-7", "replica-11", "replica-12"}, set(names))
+
+    def test_the_number_of_candidates_is_bounded(self):
+        holders = [f"replica-{number}" for number in range(8)]
+        for size in (20, 200, 830):
+            for seed in SEEDS:
+                found = pool_of(size).some("replica-9", holders, Random(seed))
+                self.assertLessEqual(len(found), DRAWN + len(holders) + 1)
+
+    def test_replicas_that_are_no_longer_listed_are_passed_over(self):
+        found = pool_of(20).some("gone", ["gone-too"], Random(1))
+        self.assertEqual(DRAWN, len(found))
+
+    def test_every_replica_is_drawn_some_time(self):
+        pool, seen = pool_of(60), set()
+        random = Random(1)
+        for _ in range(200):
+            seen |= {candidate.replica_id for candidate in pool.some(None, [], random)}
+        self.assertEqual(60, len(seen))
+
+
+class Users(unittest.TestCase):
+    def test_the_latest_user_comes_first(self):
+        table = PrefixTable()
+        parts = (PromptPart("head", 100), PromptPart("own", 10))
+        for name in ("a", "b", "a"):
+            table.used(name, parts, 1_000, 0.0)
+        self.assertEqual(["a", "b"], table.users("head", 8))
+        self.assertEqual(["a"], table.users("head", 1))
+
+    def test_what_gave_way_has_no_user(self):
+        table = PrefixTable()
+        table.used("a", (PromptPart("first", 700),), 1_000, 0.0)
+        table.used("a", (PromptPart("second", 700),), 1_000, 0.0)
+        self.assertEqual([], table.users("first", 8))
+        self.assertEqual(["a"], table.users("second", 8))
+
+    def test_replicas_that_are_gone_are_forgotten(self):
+        table = PrefixTable()
+        table.used("a", (PromptPart("first", 700),), 1_000, 0.0)
+        table.used("b", (PromptPart("first", 700),), 1_000, 0.0)
+        table.forget_except({"b"})
+        self.assertEqual(["b"], table.users("first", 8))
+        table.forget_except(set())
+        self.assertEqual([], table.users("first", 8))
+        self.assertEqual({}, table._users)
+
+
+class Cost(unittest.TestCase):
+    def test_a_decision_costs_about_the_same_at_any_size(self):
+        """By processor time; a look at all replicas would take ten times as long."""
+        some = measure_decision(65, requests=400).seconds
+        many = measure_decision(830, requests=400).seconds
+        self.assertLess(many, 3 * some)
+
+
+if __name__ == "__main__":
+    unittest.main()
