--- a/rooklug_lab/gateway/clients.py
+++ b/rooklug_lab/gateway/clients.py
@@ -19,7 +19,11 @@
 
 
 class ClientStandIn:
-    """Clients of one region: ask where to go, send, and come back once when told to."""
+    """Clients of one region: ask where to go, send, and come back once when told to.
+
+    With ``repeats_at_once`` they don't wait as told: what isn't served they send again at once,
+    so many times.
+    """
 
     head_first_paths: tuple[str, ...] = ()
 
@@ -34,6 +38,7 @@
     ) -> None:
         self.rate_per_s = rate_per_s
         self.paths = ["/s/1", "/once/1"]
+        self.repeats_at_once = 0
         self._region = region
         self._zone = zone
         self._directories = directories
@@ -122,6 +127,9 @@
         attempt.complete = complete
         attempt.ended_at = now
         retry_after = self._retries.pop(attempt.request_id, "")
+        if self.repeats_at_once and not attempt.served and "?" not in attempt.path:
+            again = f"{attempt.path}?again={attempt.request_id}"
+            return [e for _ in range(self.repeats_at_once) for e in self._send(again, now)]
         if attempt.status == 503 and retry_after and "?" not in attempt.path:
             return [fx.StartTimer(f"{attempt.path}?again={attempt.request_id}", float(retry_after))]
         return []
@@ -140,7 +148,7 @@
     head_first_paths: tuple[str, ...] = ()
 
     def __init__(self, cores: list[str], context: ProcessContext, journal: Journal) -> None:
-        self._cores = cores
+        self.cores = cores
         self._context = context
         self._journal = journal
         self._under_way: dict[int, _Sending] = {}
@@ -162,7 +170,7 @@
     def read(self) -> list[fx.Effect]:
         """Read the configuration back, until it comes."""
         self._reading = self._context.identifiers.next()
-        address = self._context.random.choice(self._cores)
+        address = self._context.random.choice(self.cores)
         return [fx.HttpCall(self._reading, address, "GET", CONFIGURATION_PATH, b"", 1.0)]
 
     def handle(self, event: ev.Event, now: float) -> list[fx.Effect]:
@@ -189,7 +197,7 @@
     def _send(self, sending: _Sending) -> list[fx.Effect]:
         call_id = self._context.identifiers.next()
         self._under_way[call_id] = sending
-        address = self._context.random.choice(self._cores)
+        address = self._context.random.choice(self.cores)
         return [fx.HttpCall(call_id, address, "POST", sending.target, sending.body, 1.0)]
 
     def _answered(self, event: ev.HttpAnswered, now: float) -> list[fx.Effect]:
--- /dev/null
+++ b/rooklug_lab/gateway/large_days.py
@@ -0,0 +1,115 @@
+"""Faults of large deployments, each brought about in a simulated run of two hundred machines.
+
+Each fault strikes more than once or beside another one, and changes are sent meanwhile: what
+was acknowledged must be there at the end, and come into force in time at every front in touch.
+"""
+
+from functools import partial
+from random import Random
+
+from rooklug_lab.gateway.site import GatewaySite
+
+SLOW_EVENT_S = 0.004
+"""On a slow machine: about ten times what an event costs a front."""
+SLOW_SHARE = 0.15
+ADDED_A_ZONE = 6
+
+
+def machines_turn_slow(site: GatewaySite, random: Random) -> None:
+    """A sixth of the machines turn slow, then others, with the primary's among them."""
+    for begin_s in (1.0, 8.0):
+        names = random.sample(site.fronts, int(len(site.fronts) * SLOW_SHARE))
+        _at(site, begin_s, lambda n=names: site.slow([*n, site.primary()], SLOW_EVENT_S, 5.5))
+    _at(site, 2.0, lambda: site.change(["slow"]))
+    _at(site, 9.0, lambda: site.drain(random.choice(site.replicas)))
+
+
+def machines_are_added(site: GatewaySite, random: Random) -> None:
+    """Every zone gets more machines, while a change spreads and right after the primary's end."""
+    for place, zone in enumerate(site.shape.zones):
+        begin_s = 1.0 + 0.3 * place
+        _at(site, begin_s, lambda z=zone: site.add_machines(z, ADDED_A_ZONE))
+    _at(site, 1.5, lambda: site.change(["added"]))
+    _at(site, 2.0 + random.random(), lambda: site.kill([site.primary()], 1.5))
+    _at(site, 6.0, lambda: site.order_zone("south-b", "empty"))
+    _at(site, 10.0, lambda: site.order_zone("south-b", "restore"))
+
+
+def core_is_replaced(site: GatewaySite, random: Random) -> None:
+    """Cores go for good, the first seed and then the primary; empty ones come elsewhere."""
+    _at(site, 0.5, lambda: site.change(["first"]))
+    _at(site, 1.0, lambda: site.replace_core(site.cores[0], 1.0))
+    _at(site, 4.0, lambda: site.change(["second"]))
+    _at(site, 7.5, lambda: site.replace_core(site.primary(), 1.0))
+    _at(site, 8.0 + random.random(), lambda: site.change(["third"]))
+
+
+def zone_is_cut(site: GatewaySite, random: Random) -> None:
+    """A zone is partitioned from the others, and then the zone of the primary."""
+    zones = list(site.shape.zones)
+    _at(site, 1.0, lambda: site.cut_zone(random.choice(zones), 4.5))
+    _at(site, 2.0, lambda: site.change(["first"]))
+    _at(site, 9.0, lambda: site.cut_zone(site.process(site.primary()).place.zone, 3.5))
+    _at(site, 10.0, lambda: site.change(["second"]))
+
+
+def packets_pass_one_way(site: GatewaySite, random: Random) -> None:
+    """Nothing reaches some machines any more, though they are heard: fronts, then the primary."""
+    names = random.sample(site.fronts, 12)
+    _at(site, 1.0, lambda: site.cut(names, 5.0, outbound=False))
+    _at(site, 2.0, lambda: site.change(["first"]))
+    _at(site, 8.0, lambda: site.cut([site.primary()], 4.0, outbound=False))
+    _at(site, 9.0, lambda: site.change(["second"]))
+
+
+def core_falls_apart(site: GatewaySite, random: Random) -> None:
+    """Halves of the core don't hear each other; meanwhile machines of one of them end."""
+    half = random.sample(site.cores, len(site.cores) // 2)
+    others = [name for name in site.cores if name not in half]
+    _at(site, 1.0, lambda: site.cut_between(half, others, 4.0))
+    _at(site, 2.0, lambda: site.change(["first"]))
+    _at(site, 3.0, lambda: site.kill(half[:2], 3.0, power=True))
+    _at(site, 5.5, lambda: site.turn_cold("north-a"))
+    _at(site, 9.0, lambda: site.change(["second"]))
+
+
+def clients_repeat_at_once(site: GatewaySite, random: Random) -> None:
+    """Replicas lie and a zone of them ends, while clients repeat at once and often."""
+    for region in site.shape.regions:
+        site.set_impatience(region, 3)
+        site.set_rate(region, 2.0)
+    zone = random.choice(list(site.shape.zones))
+    for entry in site.replicas:
+        if entry.zone == zone:
+            _at(site, 1.0 + random.random(), partial(site.crash_replica, entry, 4.0))
+    for entry in random.sample([e for e in site.replicas if e.zone != zone], 10):
+        _at(site, 7.0 + random.random(), partial(site.crash_replica, entry, 2.0, dark=True))
+
+
+def power_goes_with_disks(site: GatewaySite, random: Random) -> None:
+    """Right after a change is sent all machines lose power, and as many disks as may be lost."""
+    lost = random.sample(site.cores, site.shape.tolerance)
+    others = [name for name in [*site.cores, *site.fronts] if name not in lost]
+
+    def strike() -> None:
+        site.kill(lost, 1.0, power=True, wipe=True)
+        site.kill(others, 1.0, power=True)
+
+    _at(site, 1.0, lambda: site.change(["last"]))
+    _at(site, 1.0 + random.uniform(0.02, 0.5), strike)
+
+
+LARGE_DAYS = (
+    machines_turn_slow,
+    machines_are_added,
+    core_is_replaced,
+    zone_is_cut,
+    packets_pass_one_way,
+    core_falls_apart,
+    clients_repeat_at_once,
+    power_goes_with_disks,
+)
+
+
+def _at(site: GatewaySite, delay_s: float, action) -> None:
+    site.world.scheduler.after(delay_s, action)
--- a/rooklug_lab/gateway/scenarios.py
+++ b/rooklug_lab/gateway/scenarios.py
@@ -11,10 +11,11 @@
 import attrs
 
 from rooklug_lab.gateway.journal import Journal
+from rooklug_lab.gateway.large_days import LARGE_DAYS
 from rooklug_lab.gateway.oracles import judge
 from rooklug_lab.gateway.random_day import random_day
 from rooklug_lab.gateway.replicas import Conduct
-from rooklug_lab.gateway.shape import FIXED_SHAPE, WIDE_SHAPE, SiteShape, drawn_shape
+from rooklug_lab.gateway.shape import FIXED_SHAPE, LARGE_SHAPE, WIDE_SHAPE, SiteShape, drawn_shape
 from rooklug_lab.gateway.site import GatewaySite
 
 WARM_UP_S = 6.0
@@ -168,6 +169,7 @@
         region_is_lost,
         replicas_lie,
         random_day,
+        *LARGE_DAYS,
     )
 }
 
@@ -175,6 +177,8 @@
 """Scenarios whose deployment is drawn, too."""
 WIDE = frozenset({region_is_lost.__name__})
 """Scenarios that need a deployment which bears the loss of a region."""
+LARGE = frozenset(day.__name__ for day in LARGE_DAYS)
+"""Scenarios of a deployment of two hundred machines."""
 
 
 @attrs.frozen
@@ -203,6 +207,8 @@
 def _shape_for(name: str, seed: int) -> SiteShape:
     if name in DRAWN:
         return drawn_shape(Random(seed))
+    if name in LARGE:
+        return LARGE_SHAPE
     return WIDE_SHAPE if name in WIDE else FIXED_SHAPE
 
 
--- a/rooklug_lab/gateway/shape.py
+++ b/rooklug_lab/gateway/shape.py
@@ -57,6 +57,20 @@
 """Six cores, thirty fronts, three regions, one of which may be lost."""
 
 
+LARGE_ZONES = {f"{region}-{letter}": region for letter in "abc" for region in ("north", "south")}
+LARGE_SHAPE = SiteShape(
+    zones=LARGE_ZONES,
+    core_zones=tuple(LARGE_ZONES),
+    minimum_copies=3,
+    fronts_a_zone=33,
+    models_a_zone=10,
+    region_delay_s=0.02,
+    client_rate_per_s=25.0,
+    cold_rate_per_s=9.0,
+)
+"""Two hundred machines in two regions, six of them with a core, two of which may be lost."""
+
+
 def drawn_shape(random: Random) -> SiteShape:
     """Return a deployment that nobody has seen: one to three regions, three to seven cores."""
     zones = _drawn_zones(random)
--- a/rooklug_lab/gateway/site.py
+++ b/rooklug_lab/gateway/site.py
@@ -41,6 +41,7 @@
         self.journal = Journal()
         self.replicas: list[ReplicaEntry] = []
         self.cores = _core_names(shape)
+        self._core_ips: dict[int, str] = {}
         self.fronts: list[str] = []
         self._limits = limits or GatewayLimits(
             cold_bound=ColdBound(COLD_OVERSHOOT, COLD_SLACK), retry_budget=BUDGET
@@ -175,6 +176,56 @@
             self._later(for_s, lambda: network.heal(inside, outside))
         self._disturb("cut", for_s)
 
+    def cut_zone(self, zone: str, for_s: float) -> None:
+        """Partition a zone's cores, fronts and replicas from all others; clients reach them."""
+        names = [*self.cores, *self.fronts, *(entry.name for entry in self.replicas)]
+        inside = [name for name in names if self.process(name).place.zone == zone]
+        self.cut_between(inside, [name for name in names if name not in inside], for_s)
+
+    def cut_between(self, some: Iterable[str], others: Iterable[str], for_s: float) -> None:
+        """Cut processes off from other ones; everybody else reaches both."""
+        one = [self.process(name).place for name in some]
+        two = [self.process(name).place for name in others]
+        network = self.world.network
+        for source, target in ((one, two), (two, one)):
+            network.cut(source, target)
+            self._later(for_s, lambda s=source, t=target: network.heal(s, t))
+        self._disturb("cut", for_s)
+
+    def slow(self, names: Iterable[str], event_s: float, for_s: float) -> None:
+        """Let machines take so long for each event of their processes."""
+        slowed = [self.process(name) for name in names]
+        for process in slowed:
+            process.event_s = event_s
+        self._later(for_s, lambda: [setattr(process, "event_s", 0.0) for process in slowed])
+        self._disturb("slow", for_s)
+
+    def add_machines(self, zone: str, count: int) -> list[str]:
+        """Add machines to a zone and start their fronts."""
+        number, region = self._zone_numbers[zone], self.shape.zones[zone]
+        present = [n for n in self.fronts if self.process(n).place.zone == zone]
+        names = []
+        for machine in range(len(present) + 1, len(present) + count + 1):
+            names.append(f"front-{zone}-{machine}")
+            self._add_front(names[-1], f"10.{number}.0.{machine}", zone, region, self._seeds())
+            self.process(names[-1]).start()
+        return names
+
+    def replace_core(self, name: str, after_s: float) -> str:
+        """Take a core's machine away for good; an empty one comes at another address."""
+        place = self.cores.index(name)
+        self.world.machine_fails(self.process(name))
+        self._disturb("replace", after_s)
+        successor = f"{name}-new"
+        self.cores[place] = successor
+        self._core_ips[place] = (
+            f"10.{self._zone_numbers[self.shape.core_zones[place]]}.7.{place + 1}"
+        )
+        self._add_core(place, self.shape.core_zones[place])
+        self.process("operator").reducer.cores = self._operator_addresses()
+        self._later(after_s, lambda: self.process(successor).start())
+        return successor
+
     def stall_disk(self, name: str, for_s: float) -> None:
         """Let no write of a disk finish for a while."""
         self.process(name).disk.stalled_until = self.world.now + for_s
@@ -190,6 +241,10 @@
         reducer = self.process(f"client-{region}").reducer
         reducer.rate_per_s = self.shape.client_rate_per_s * factor
 
+    def set_impatience(self, region: str, repeats: int) -> None:
+        """Let the clients of a region repeat at once what isn't served, so many times."""
+        self.process(f"client-{region}").reducer.repeats_at_once = repeats
+
     def add_path(self, path: str) -> None:
         """Let clients use a further route."""
         for region in self.shape.regions:
@@ -227,16 +282,19 @@
 
     def _core_ip(self, place: int) -> str:
         """Return the IP address of a core: it shares a machine with a front of its zone."""
+        if place in self._core_ips:
+            return self._core_ips[place]
         zone = self.shape.core_zones[place]
         earlier = self.shape.core_zones[:place].count(zone)
         return f"10.{self._zone_numbers[zone]}.0.{earlier + 1}"
 
     def _seeds(self) -> tuple[str, ...]:
+        """Return the first cores' internal addresses, as they are now."""
         return tuple(f"{self._core_ip(place)}:7000" for place in range(SEEDS))
 
     def _add_core(self, place: int, zone: str) -> None:
         seeds = self._seeds()
-        members = dict(zip(self.cores[:SEEDS], seeds, strict=True))
+        members = dict(zip(_core_names(self.shape)[:SEEDS], seeds, strict=True))
         region = self.shape.zones[zone]
         ip = self._core_ip(place)
         core = _node(self.cores[place], "core", zone, region, ip, "8002", seeds)
@@ -314,14 +372,16 @@
                     r, z, d, self.shape.client_rate_per_s, context, self.journal
                 ),
             )
-        cores = [f"{self._core_ip(place)}:8002" for place in range(len(self.cores))]
         self._add_stand_in(
             "operator",
             "10.100.0.9:80",
             next(iter(self.shape.zones)),
-            lambda context: OperatorStandIn(cores, context, self.journal),
+            lambda context: OperatorStandIn(self._operator_addresses(), context, self.journal),
         )
 
+    def _operator_addresses(self) -> list[str]:
+        return [f"{self._core_ip(place)}:8002" for place in range(len(self.cores))]
+
     def _region_of(self, address: str) -> str:
         return list(self.shape.zones.values())[int(address.split(".")[1]) - 1]
 
--- a/rooklug_lab/sim/process.py
+++ b/rooklug_lab/sim/process.py
@@ -21,7 +21,11 @@
 
 @attrs.define(eq=False)
 class SimulatedProcess:
-    """One process. ``generation`` grows with every start, so that old events miss it."""
+    """One process. ``generation`` grows with every start, so that old events miss it.
+
+    ``event_s`` is the time that the machine needs for one event, 0 for none: on a slow machine
+    events wait for one another.
+    """
 
     name: str
     place: Place
@@ -38,6 +42,7 @@
     running: bool = False
     machine_up: bool = True
     frozen: bool = False
+    event_s: float = 0.0
     generation: int = 0
     reducer: Reducer | None = None
     exit_code: int | None = None
@@ -45,6 +50,7 @@
     _backlog: list[ev.Event] = attrs.field(factory=list)
     _timers: dict[str, int] = attrs.field(factory=dict)
     _timer_sequence: int = 0
+    _busy_until: float = 0.0
 
     def local_now(self) -> float:
         """Return this process's monotonic clock, in seconds."""
@@ -95,7 +101,20 @@
                 self.deliver(ev.TimerFired(event.name))
 
     def deliver(self, event: ev.Event) -> None:
-        """Hand one event to the reducer and obey its effects."""
+        """Hand one event to the reducer and obey its effects, on a slow machine after a while."""
+        if self.event_s <= 0 and self._busy_until <= self.scheduler.now:
+            self._handle(event)
+            return
+        generation = self.generation
+        self._busy_until = max(self._busy_until, self.scheduler.now) + self.event_s
+
+        def handle() -> None:
+            if generation == self.generation:
+                self._handle(event)
+
+        self.scheduler.at(self._busy_until, handle)
+
+    def _handle(self, event: ev.Event) -> None:
         if not self.running:
             return
         if self.frozen:
