More than two serving fronts tell a collector what they have under way

Idle fronts looked 4 times a second whether they had something to tell. Three are ranked; without an answer the next is asked for 5 s, without any up to eight peers are told as before.

--- a/idl/peers.thrift
+++ b/idl/peers.thrift
@@ -24,6 +24,11 @@
   3: required i64 sequence           // grows with each message of one incarnation
   4: required list<ReplicaUse> uses
   5: required list<SentPrompt> prompts
+  6: optional i64 prompts_seen       // set: the receiver is asked, as the region's load collector,
+                                     // for the other fronts' uses and for prompts after this number
 }
 struct FrontUseTaken {
+  1: optional list<ReplicaUse> others   // sums of what all other fronts have told the collector
+  2: optional list<SentPrompt> prompts  // of other fronts
+  3: optional i64 prompts_seen          // the number of the newest prompt that is told by now
 }
--- a/rooklug/gateway/serving_fronts.py
+++ b/rooklug/gateway/serving_fronts.py
@@ -6,6 +6,8 @@
 from rooklug.wire.generated.control.ttypes import NodeRecord
 
 LEAST_FRONTS = 2
+MOST_COLLECTORS = 3
+"""The second is asked when the first doesn't answer, and so on."""
 FRONTS_SHARE = 1 / 8
 """Part of a region's fronts that its clients are sent to: fewer fronts know more of the load of
 each replica and of what it holds, and keep fewer connections; the rest stand by. With half as
@@ -18,6 +20,20 @@
     Zones take turns, and machines that also run a core come last: they have other work, and
     what strikes the core need not strike the traffic. ``core_machines`` are IP addresses.
     """
+    return _ranked(fronts, core_machines)[: serving_count(len(fronts))]
+
+
+def load_collectors(fronts: list[NodeRecord], core_machines: frozenset[str]) -> list[NodeRecord]:
+    """Return the fronts of a region that collect loads, in the order in which they are asked.
+
+    They are the next ones after those that take traffic: they have the time for it.
+    """
+    count = serving_count(len(fronts))
+    return _ranked(fronts, core_machines)[count : count + MOST_COLLECTORS]
+
+
+def _ranked(fronts: list[NodeRecord], core_machines: frozenset[str]) -> list[NodeRecord]:
+    """Return fronts in the order in which they are chosen to take traffic."""
 
     def runs_core(node: NodeRecord) -> bool:
         return machine_of(node.http_address) in core_machines
@@ -29,7 +45,7 @@
         (place, zone, node) for zone, nodes in by_zone.items() for place, node in enumerate(nodes)
     ]
     ranked.sort(key=lambda entry: (runs_core(entry[2]), *entry[:2]))
-    return [node for _, _, node in ranked[: serving_count(len(fronts))]]
+    return [node for _, _, node in ranked]
 
 
 def serving_count(fronts: int) -> int:
--- a/rooklug/gateway/view.py
+++ b/rooklug/gateway/view.py
@@ -7,7 +7,7 @@
 from rooklug.gateway.document import GatewayConfiguration
 from rooklug.gateway.replica_pool import RegionPool
 from rooklug.gateway.replicas import GatewayReplica
-from rooklug.gateway.serving_fronts import serving_fronts
+from rooklug.gateway.serving_fronts import load_collectors, serving_fronts
 from rooklug.routing.send_rights import SendRights
 from rooklug.wire.generated.control.ttypes import NodeRecord, RouteWeight
 
@@ -74,15 +74,23 @@
     @cached_property
     def send_rights(self) -> SendRights:
         """Which fronts take the traffic of each region."""
-        by_region: dict[str, list[NodeRecord]] = {}
-        for node in self.ready_fronts:
-            by_region.setdefault(node.region, []).append(node)
         serving = {
             region: tuple(node.node_id for node in serving_fronts(found, self.core_machines))
-            for region, found in by_region.items()
+            for region, found in self._fronts_by_region.items()
         }
         return SendRights(serving, frozenset(node.node_id for node in self.ready_fronts))
 
+    def load_collectors(self, region: str) -> list[NodeRecord]:
+        """Return the fronts that collect the loads of a region, in the order they are asked."""
+        return load_collectors(self._fronts_by_region.get(region, []), self.core_machines)
+
+    @cached_property
+    def _fronts_by_region(self) -> dict[str, list[NodeRecord]]:
+        by_region: dict[str, list[NodeRecord]] = {}
+        for node in self.ready_fronts:
+            by_region.setdefault(node.region, []).append(node)
+        return by_region
+
 
 def matrix_of(cells: list[RouteWeight]) -> dict[MatrixKey, tuple[RegionShare, ...]]:
     """Return the plan's cells by what a request is looked up with."""
--- a/rooklug/routing/peer_loads.py
+++ b/rooklug/routing/peer_loads.py
@@ -51,6 +51,19 @@
                 waiting_tokens += use.waiting_tokens
         return Use(running, waiting_tokens)
 
+    def all_but(self, node_id: str, now: float) -> dict[str, Use]:
+        """Return what all peers but one have under way, by replica."""
+        totals: dict[str, Use] = {}
+        for name, told in self._told.items():
+            if name == node_id or now - told.at > STALE_S:
+                continue
+            for replica_id, use in told.uses.items():
+                sum_ = totals.get(replica_id, NO_USE)
+                totals[replica_id] = Use(
+                    sum_.running + use.running, sum_.waiting_tokens + use.waiting_tokens
+                )
+        return totals
+
     def forget_except(self, node_ids: frozenset[str]) -> None:
         """Drop the fronts that are not ready any more."""
         self._told = {key: told for key, told in self._told.items() if key in node_ids}
--- a/rooklug_lab/policy/fronts.py
+++ b/rooklug_lab/policy/fronts.py
@@ -129,11 +129,23 @@
             if isinstance(effect, fx.StartTimer):
                 self._exchange_later(effect.delay_s, ev.TimerFired(effect.name))
             elif isinstance(effect, fx.Call):
-                peer = self.world.front_at(effect.address)
-                delay_s = self.world.network.delay_s(self.zone, peer.zone)
-                told = ev.CallArrived(effect.call_id, self.name, effect.request)
-                peer._exchange_later(delay_s, told)
-                self._exchange_later(2 * delay_s, ev.CallAnswered(effect.call_id, None))
+                self._call_peer(effect)
+
+    def _call_peer(self, effect: fx.Call) -> None:
+        """Carry a call to a peer, and its answer back; a peer that is down doesn't answer."""
+        peer = self.world.front_at(effect.address)
+        delay_s = self.world.network.delay_s(self.zone, peer.zone)
+        told = ev.CallArrived(effect.call_id, self.name, effect.request)
+
+        def arrive() -> None:
+            if not peer.up:
+                failed = ev.CallFailed(effect.call_id, "no answer", True)
+                self._exchange_later(effect.deadline_s, failed)
+                return
+            for answer in peer.exchange.handle(told, self.world.now):
+                self._exchange_later(delay_s, ev.CallAnswered(effect.call_id, answer.answer))
+
+        self.world.scheduler.after(delay_s, arrive)
 
     def _exchange_later(self, delay_s: float, event: ev.Event) -> None:
         generation = self.generation
--- a/rooklug_lab/policy/mechanisms.py
+++ b/rooklug_lab/policy/mechanisms.py
@@ -22,13 +22,23 @@
 _ALL = (
     Mechanism(
         "few-fronts",
-        "a sixteenth of a region's fronts serves, not all",
+        "an eighth of a region's fronts serves, not all",
         ("serving_fronts.FRONTS_SHARE=1.0",),
     ),
     Mechanism(
         "peer-exchange",
         "fronts of a region tell each other what is under way",
-        ("peer_exchange.MOST_PEERS=0",),
+        ("peer_exchange.MOST_PEERS=0", "peer_exchange.DIRECT_PEERS=1000"),
+    ),
+    Mechanism(
+        "load-collector",
+        "more than two fronts tell a collector, not each other",
+        ("peer_exchange.DIRECT_PEERS=1000",),
+    ),
+    Mechanism(
+        "bounded-choice",
+        "a decision looks at some replicas of a large pool, not at all",
+        ("replica_pool.SMALL_POOL=100000",),
     ),
     Mechanism(
         "pauses",
