--- a/rooklug/gateway/executor.py
+++ b/rooklug/gateway/executor.py
@@ -14,30 +14,31 @@
 from rooklug.engine.composite import Notify, PartDefaults
 from rooklug.engine.reducer import Identifiers, MetricSample
 from rooklug.front.outcomes import AttemptOutcome
-from rooklug.gateway.answers import GatewayError, error_answer
+from rooklug.gateway.answers import GatewayError
+from rooklug.gateway.client_answers import LEAST_RETRY_AFTER_S, ClientAnswers
 from rooklug.gateway.decision import Decision, Refuse
 from rooklug.gateway.dialect import HeaderNames
 from rooklug.gateway.document import Route
 from rooklug.gateway.event_stream import complete_length, last_event_id
 from rooklug.gateway.notices import RequestCounted, ViewChanged
 from rooklug.gateway.passage import Passage, Stage
-from rooklug.gateway.requests import PassedRequest, end_to_end, read_request
-from rooklug.gateway.retry_budget import RetryBudget, RetryBudgetSettings
+from rooklug.gateway.replica_call import (
+    REPLACED_STATUS,
+    is_answer_to,
+    is_not_executed,
+    replica_call,
+)
+from rooklug.gateway.requests import PassedRequest, read_request
+from rooklug.gateway.retry_budget import RetryBudgets, RetryBudgetSettings
 
 LISTENER = "clients"
-CONNECT_DEADLINE_S = 0.6
-# Our own timer is a little later than the replica's, whose answer says more.
-DEADLINE_SLACK_S = 0.03
 LEAST_TIME_TO_SEND_S = 0.01
 MAX_UNSENT_TRIES = 4
 # When everything starts together, a front knows the configuration after this time; measured at
 # 1.2 s with 91 machines. Clients come back once, so rather later than too early, and not at once.
 USUAL_START_S = 1.6
 START_SPREAD_S = 0.6
-LEAST_RETRY_AFTER_S = 0.3
 RETRY_AFTER_FULL_S = 0.5
-# Clients wait for at most a third of their time: what is asked must be less.
-RETRY_AFTER_SHARE = 0.3
 # A front that ends takes new requests for so long, and later ones only if they fit.
 TAKEN_WHILE_ENDING_S = 2.8
 END_RESERVE_S = 0.8
@@ -45,8 +46,6 @@
 # A resumable stream that says nothing for so long goes on at another replica.
 STALLED_S = 1.0
 _WATCH_TIMER = "watch"
-NOT_EXECUTED_STATUSES = frozenset({400, 421, 429, 503})
-LOWEST_PRIORITY = 9
 # A failure is held until it is whole; a longer body is no failure's body.
 MAX_FAILURE_BYTES = 1024 * 1024
 
@@ -80,9 +79,9 @@
     ) -> None:
         self._decision = decision
         self._names = names
+        self._answers = ClientAnswers(names)
         self._identifiers = identifiers
-        self._budget_settings = budget
-        self._budgets: dict[str, RetryBudget] = {}
+        self._budgets = RetryBudgets(budget)
         self._by_http: dict[int, Passage] = {}
         self._by_call: dict[int, Passage] = {}
         self._grace_s = grace_s
@@ -123,6 +122,7 @@
                 self._started_at = now
             case ev.StopRequested():
                 self._ending_since = now
+                self._answers.is_ending = True
             case ViewChanged():
                 self._decision.take_view(event.view)
         return []
@@ -151,7 +151,7 @@
         if not self._may_take(passage, now):
             return self._refuse(request, GatewayError.ENDING, LEAST_RETRY_AFTER_S)
         self._by_http[request.http_id] = passage
-        self._budget(passage).count_request(now)
+        self._budgets.of(passage.service.name).count_request(now)
         return [
             Notify(RequestCounted(request, passage.service.name, route.name)),
             *self._send(passage, now),
@@ -171,16 +171,10 @@
         service = self._decision.service_for(request, route)
         return Passage(request, route, service, now, now + patience_s)
 
-    def _budget(self, passage: Passage) -> RetryBudget:
-        name = passage.service.name
-        if name not in self._budgets:
-            self._budgets[name] = RetryBudget(self._budget_settings)
-        return self._budgets[name]
-
     def _may_repeat(self, passage: Passage, now: float) -> bool:
         """Tell whether this front's part of the retry budget allows one more repeat."""
         fronts = len(self._decision.view.ready_fronts)
-        return self._budget(passage).may_repeat(fronts, now)
+        return self._budgets.of(passage.service.name).may_repeat(fronts, now)
 
     # To the replica -------------------------------------------------------
 
@@ -194,7 +188,7 @@
             return self._give_up(passage, now, verdict.retry_after_s)
         replica = verdict.replica
         if passage.arrivals:
-            self._budget(passage).count_repeat(now)
+            self._budgets.of(passage.service.name).count_repeat(now)
             self.figures.repeated += 1
         passage.replica = replica
         passage.tried.add(replica.replica_id)
@@ -203,29 +197,7 @@
         passage.call_id = self._identifiers.next()
         self._by_call[passage.call_id] = passage
         self._decision.sent(passage.call_id, passage.request, replica, passage.service, now)
-        return [self._call(passage, now)]
-
-    def _call(self, passage: Passage, now: float) -> fx.HttpCall:
-        request, replica, names = passage.request, passage.replica, self._names
-        left_s = passage.left_s(now)
-        headers = end_to_end(request.headers)
-        headers["host"] = request.host
-        headers[names.deadline_ms] = str(int(left_s * 1000))
-        headers[names.expected_replica] = replica.replica_id
-        headers[names.priority] = str(min(passage.route.priority, LOWEST_PRIORITY))
-        if passage.last_event_id:
-            headers[names.resume_after] = passage.last_event_id
-        return fx.HttpCall(
-            call_id=passage.call_id,
-            address=replica.address,
-            method=request.method,
-            path=request.target,
-            body=request.body,
-            deadline_s=left_s + DEADLINE_SLACK_S,
-            headers=headers,
-            streaming=passage.is_stream,
-            connect_deadline_s=min(CONNECT_DEADLINE_S, left_s),
-        )
+        return [replica_call(passage, self._names, now)]
 
     # From the replica -----------------------------------------------------
 
@@ -238,10 +210,10 @@
     def _whole_answer(
         self, passage: Passage, status: int, headers: dict[str, str], body: bytes, now: float
     ) -> list[fx.Effect]:
-        if self._is_not_executed(status, headers):
+        if is_not_executed(status, headers, self._names):
             self._ended_at_replica(passage, None, now)
             return self._not_executed(passage, status, headers, body, now)
-        if not self._is_ours(passage, headers):
+        if not is_answer_to(passage, headers, self._names):
             self._ended_at_replica(passage, AttemptOutcome.BROKEN, now)
             passage.may_have_run = True
             return self._try_again(passage, now)
@@ -254,7 +226,7 @@
     ) -> list[fx.Effect]:
         if status == 400:
             return self._respond(passage, status, headers, body)
-        if status == 421:  # the address is another replica's by now
+        if status == REPLACED_STATUS:  # the address is another replica's by now
             passage.sends -= 1
             self._decision.denied(passage.replica)
         return self._try_again(passage, now)
@@ -270,7 +242,7 @@
         passage.failure_body = []
         if not 200 <= event.status < 300:
             return []
-        if not self._is_ours(passage, event.headers):
+        if not is_answer_to(passage, event.headers, self._names):
             self._by_call.pop(event.call_id)
             self._ended_at_replica(passage, AttemptOutcome.BROKEN, now)
             passage.may_have_run = True
@@ -278,7 +250,7 @@
         if passage.stage is Stage.STREAMING:
             return []  # it goes on under the head of its first replica
         passage.stage = Stage.STREAMING
-        headers = self._towards_client(event.headers)
+        headers = self._answers.headers(event.headers)
         return [fx.HttpStreamStart(passage.request.http_id, event.status, headers)]
 
     def _piece(self, event: ev.HttpBodyPiece, now: float) -> list[fx.Effect]:
@@ -412,7 +384,7 @@
             return self._break_off(passage)
         self._forget(passage)
         self.figures.answered += 1
-        headers = self._towards_client(headers)
+        headers = self._answers.headers(headers)
         return [fx.HttpRespond(passage.request.http_id, status, body, headers)]
 
     def _give_up(self, passage: Passage, now: float, retry_after_s: float = 0.0) -> list[fx.Effect]:
@@ -433,20 +405,7 @@
             self.figures.failed += 1
         else:
             self.figures.refused += 1
-        headers = self._towards_client({})
-        if request.request_id:
-            headers[self._names.request_id] = request.request_id
-        if error.is_promise:
-            retry_after_s = max(retry_after_s, LEAST_RETRY_AFTER_S)
-            if request.deadline_s is not None:
-                retry_after_s = min(retry_after_s, request.deadline_s * RETRY_AFTER_SHARE)
-        return [error_answer(request.http_id, error, headers, retry_after_s)]
-
-    def _towards_client(self, headers: dict[str, str]) -> dict[str, str]:
-        passed = end_to_end(headers)
-        if self._ending_since is not None:
-            passed["connection"] = "close"
-        return passed
+        return [self._answers.refusal(request, error, retry_after_s)]
 
     def _ended_at_replica(
         self, passage: Passage, outcome: AttemptOutcome | None, now: float
@@ -456,12 +415,3 @@
     def _forget(self, passage: Passage) -> None:
         self._by_http.pop(passage.request.http_id, None)
         self._by_call.pop(passage.call_id, None)
-
-    def _is_not_executed(self, status: int, headers: dict[str, str]) -> bool:
-        if status == 421:
-            return True
-        return status in NOT_EXECUTED_STATUSES and self._names.not_executed in headers
-
-    def _is_ours(self, passage: Passage, headers: dict[str, str]) -> bool:
-        """Tell whether an answer belongs to the request: its id tells answers apart."""
-        return headers.get(self._names.request_id) == passage.request.request_id
--- a/rooklug/gateway/retry_budget.py
+++ b/rooklug/gateway/retry_budget.py
@@ -54,3 +54,17 @@
         for times in (self._requests, self._repeats):
             while times and times[0] < oldest:
                 times.popleft()
+
+
+class RetryBudgets:
+    """This front's budgets, one for each service."""
+
+    def __init__(self, settings: RetryBudgetSettings) -> None:
+        self._settings = settings
+        self._by_service: dict[str, RetryBudget] = {}
+
+    def of(self, service: str) -> RetryBudget:
+        """Return the budget of a service."""
+        if service not in self._by_service:
+            self._by_service[service] = RetryBudget(self._settings)
+        return self._by_service[service]
--- a/tests/test_gateway_list_doubt.py
+++ b/tests/test_gateway_list_doubt.py
@@ -5,7 +5,7 @@
 from rooklug.engine import effects as fx
 from rooklug.engine import events as ev
 from rooklug.gateway.list_doubt import ListDoubt
-from rooklug.gateway.retry_budget import RetryBudgetSettings
+from rooklug.gateway.retry_budget import RetryBudgets, RetryBudgetSettings
 from tests.gateway_support import GatewayFront, replica, route_item
 
 ONCE = route_item("once", "/pay/")
@@ -61,8 +61,7 @@
         front = GatewayFront([ONCE], [zone_of(n, letter) for n, letter in enumerate("abcd", 1)])
         (call,) = front.request("/pay/1")
         second = self.denied(front, call)
-        front.executor._budgets.clear()
-        front.executor._budget_settings = NO_REPEATS
+        front.executor._budgets = RetryBudgets(NO_REPEATS)
         (effect,) = front.handle(ev.HttpFailed(second.call_id, "refused", ev.SendState.NOT_SENT))
         self.assertEqual(effect.status, 503)
 
