tests: the planned size is judged by the processor time that the solver had

Replaced by one as strict: a solve that had 0.9 of a processor is judged as before, one that had less and fell short is made again with twice the limit. Ruled out: a bound on processor time alone (1.50 to 2.16 s beside load, 1.64 alone; the limit is 1.5).

--- a/tests/test_placement_planner.py
+++ b/tests/test_placement_planner.py
@@ -1,5 +1,6 @@
 """The planner keeps to capacity, homes and weights, whatever solver answers."""
 
+import time
 import unittest
 from unittest import mock
 
@@ -172,6 +173,19 @@
             self.assertAlmostEqual(total, 1.0)
 
 
+SOLVER = planner.SOLVER_NAME
+FULL_SHARE = 0.9
+MOST_DOUBLINGS = 5
+
+
+def solve_measured(problem: PlacementProblem, limit_s: float) -> tuple[PlacementPlan, float]:
+    """Return a plan, and the share of a processor that the solve had."""
+    began_s, began_cpu_s = time.monotonic(), time.process_time()
+    plan = solve(attrs.evolve(problem, solve_limit_s=limit_s))
+    spent_s = time.process_time() - began_cpu_s
+    return plan, spent_s / (time.monotonic() - began_s)
+
+
 class SolverQualityTest(unittest.TestCase):
     def test_the_program_finds_the_best_of_all_placements(self) -> None:
         for seed in ORACLE_SEEDS:
@@ -187,7 +201,16 @@
             self.assertGreaterEqual(gap, -1e-9)
 
     def test_the_planned_size_is_solved_by_the_program(self) -> None:
+        """The program answers within its time limit on a machine that it has to itself.
+
+        The limit is one of the clock, which runs on while a busy machine gives the time to
+        others. A solve that had less than ``FULL_SHARE`` of the processor meanwhile and fell
+        short is no verdict: it is made again with twice the limit. One that had its time is.
+        """
         problem = cold(large_case(0, 0.4))
-        plan = solve(problem)
-        self.assertEqual(plan.solver, planner.SOLVER_NAME)
+        for doubled in range(MOST_DOUBLINGS):
+            plan, share = solve_measured(problem, problem.solve_limit_s * 2**doubled)
+            if share >= FULL_SHARE or (plan.solver == SOLVER and not plan.unplaced):
+                break
+        self.assertEqual(plan.solver, SOLVER)
         self.assertEqual(plan.unplaced, {})
