--- a/rooklug_lab/gateway/random_day.py
+++ b/rooklug_lab/gateway/random_day.py
@@ -20,6 +20,8 @@
 IN_USE_AFTER_S = 4.0
 FINAL_LOSS_AT_S = 12.0
 FINAL_LOSS_SHARE = 0.5
+SLOW_EVENT_S = 0.004
+"""On a slow machine: about ten times what an event costs a front."""
 
 
 @attrs.define
@@ -30,6 +32,7 @@
     random: Random
     disks_left: int = 0
     changes: int = 0
+    replaced: bool = False
 
     def begin(self) -> None:
         """Draw the day."""
@@ -55,6 +58,12 @@
             self.cut_core,
             self.cut_front,
             self.cut_zone,
+            self.cut_region,
+            self.cut_core_in_halves,
+            self.replace_core,
+            self.add_machines,
+            self.slow_machines,
+            self.impatient_clients,
             self.stall_disk,
             self.jump_clocks,
             self.crash_replica,
@@ -109,6 +118,31 @@
         inside = [name for name in names if self.site.process(name).place.zone == zone]
         self.site.cut(inside, self._pause())
 
+    def cut_region(self) -> None:
+        """Cut all cores and fronts of a region off; a site of one region loses a zone instead."""
+        if len(self.site.shape.regions) < 2:
+            self.cut_zone()
+            return
+        region = self.random.choice(self.site.shape.regions)
+        names = [*self.site.cores, *self.site.fronts]
+        inside = [name for name in names if self.site.process(name).place.region == region]
+        self.site.cut(inside, self._pause())
+
+    def cut_core_in_halves(self) -> None:
+        """Cut half of the cores off from the other half; everybody else reaches both."""
+        cores = self.site.cores
+        half = self.random.sample(cores, len(cores) // 2)
+        others = [name for name in cores if name not in half]
+        self.site.cut_between(half, others, self._pause())
+
+    def replace_core(self) -> None:
+        """Take a core away for good; an empty one comes at another address."""
+        if self.disks_left <= 0 or self.replaced:
+            return
+        self.disks_left -= 1
+        self.replaced = True
+        self.site.replace_core(self.random.choice(self.site.cores), self._pause())
+
     def stall_disk(self) -> None:
         """Let a core's disk stand still."""
         self.site.stall_disk(self.random.choice(self.site.cores), self._pause())
@@ -117,6 +151,23 @@
         """Move the time of day on all machines."""
         self.site.jump_clocks(self.random.choice([-30_000, -5_000, 5_000, 30_000]))
 
+    def add_machines(self) -> None:
+        """Add machines to a zone."""
+        self.site.add_machines(self._zone(), self.random.randint(1, 3))
+
+    def slow_machines(self) -> None:
+        """Let a third of the fronts, and perhaps the primary's machine, turn slow."""
+        names = self.random.sample(self.site.fronts, max(len(self.site.fronts) // 3, 1))
+        if self.random.random() < 0.5:
+            names.append(self.site.primary())
+        self.site.slow(names, SLOW_EVENT_S, self._pause())
+
+    def impatient_clients(self) -> None:
+        """Let the clients of a region repeat at once what isn't served."""
+        region = self.random.choice(self.site.shape.regions)
+        self.site.set_impatience(region, self.random.randint(1, 4))
+        self._later(5.0, lambda: self.site.set_impatience(region, 0))
+
     # Fronts and replicas ---------------------------------------------------------
 
     def kill_fronts(self) -> None:
--- a/rooklug_lab/gateway/scenarios.py
+++ b/rooklug_lab/gateway/scenarios.py
@@ -135,6 +135,28 @@
         site.world.scheduler.after(15.0, lambda place=other: site.set_rate(place, 1.0))
 
 
+def control_falls_apart(site: GatewaySite, random: Random) -> None:
+    """The core is cut into halves and then a region is cut off, while zones are taken back cold."""
+    for region in site.shape.regions:
+        site.set_rate(region, 3.0)
+    first, second = random.sample(list(site.shape.zones), 2)
+    half = random.sample(site.cores, len(site.cores) // 2)
+    others = [name for name in site.cores if name not in half]
+    site.order_zone(first, "empty")
+    site.order_zone(second, "empty")
+    _later(site, 1.0, lambda: site.cut_between(half, others, random.uniform(2.0, 4.0)))
+    moment_s = random.uniform(1.5, 4.5)
+    _later(site, moment_s, lambda: site.turn_cold(first))
+    _later(site, moment_s + 0.05, lambda: site.order_zone(first, "restore"))
+    region = random.choice(site.shape.regions)
+    names = [*site.cores, *site.fronts]
+    inside = [name for name in names if site.process(name).place.region == region]
+    _later(site, 6.0, lambda: site.cut(inside, random.uniform(2.0, 4.0)))
+    moment_s = random.uniform(6.5, 9.5)
+    _later(site, moment_s, lambda: site.turn_cold(second))
+    _later(site, moment_s + 0.05, lambda: site.order_zone(second, "restore"))
+
+
 def replicas_lie(site: GatewaySite, random: Random) -> None:
     """Replicas that are listed as sound fail, reject and say nothing, by turns.
 
@@ -167,6 +189,7 @@
         traffic_moves,
         zone_returns_cold,
         region_is_lost,
+        control_falls_apart,
         replicas_lie,
         random_day,
         *LARGE_DAYS,
@@ -175,7 +198,7 @@
 
 DRAWN = frozenset({random_day.__name__})
 """Scenarios whose deployment is drawn, too."""
-WIDE = frozenset({region_is_lost.__name__})
+WIDE = frozenset({region_is_lost.__name__, control_falls_apart.__name__})
 """Scenarios that need a deployment which bears the loss of a region."""
 LARGE = frozenset(day.__name__ for day in LARGE_DAYS)
 """Scenarios of a deployment of two hundred machines."""
@@ -212,6 +235,10 @@
     return WIDE_SHAPE if name in WIDE else FIXED_SHAPE
 
 
+def _later(site: GatewaySite, delay_s: float, action: Callable[[], object]) -> None:
+    site.world.scheduler.after(delay_s, action)
+
+
 def _at(site: GatewaySite, random: Random, action: Callable[[], None]) -> None:
     site.world.scheduler.after(random.uniform(0.5, TROUBLE_S / 2), action)
 
--- a/tests/test_gateway_site.py
+++ b/tests/test_gateway_site.py
@@ -70,6 +70,9 @@
                 self.assertEqual(run.broken, {})
                 self.assertGreater(run.served_share, LEAST_SERVED_WITHOUT_A_REGION)
 
+    def test_control_falls_apart(self) -> None:
+        self.check("control_falls_apart")
+
     def test_replicas_lie(self) -> None:
         self.check("replicas_lie")
 
