HOME: a host with a bound route names no far front that isn't its home

Cause: an answer of the directory names one front of another region beside the near ones, each eight times: with two near fronts one in seventeen connections goes far. Ruled out: the near addresses (the client's own region is allowed); the choice of replicas (they ran at home). Change: the far front stands in a region that every bound route of the host allows, else there is none. Tests: two in tests.test_gateway_control, both failed before.

--- a/rooklug/gateway/directory.py
+++ b/rooklug/gateway/directory.py
@@ -83,16 +83,23 @@
         view = self._keeper.view
         if not view.ready_fronts:
             return [self._own_address] if not self._lifecycle.reason_not_ready() else []
-        return addresses_for(question.region, self._homes(question), view)
+        configuration = view.configuration
+        if configuration is None:
+            return addresses_for(question.region, frozenset(), view, backups=frozenset())
+        homes = configuration.hosts_home(question.host)
+        backups = configuration.common_homes(question.host)
+        return addresses_for(question.region, homes, view, backups)
 
-    def _homes(self, question: WhereQuestion) -> frozenset[str]:
-        configuration = self._keeper.view.configuration
-        return configuration.hosts_home(question.host) if configuration else frozenset()
 
-
-def addresses_for(region: str, homes: frozenset[str], view: GatewayView) -> list[str]:
+def addresses_for(
+    region: str, homes: frozenset[str], view: GatewayView, backups: frozenset[str] | None = None
+) -> list[str]:
     """Return where clients of a region go: its serving fronts, and one front elsewhere.
 
+    ``homes`` are the regions that a wholly bound host allows, empty for any. ``backups`` are the
+    regions that may be named beside the near ones, None for any: a host may have bound routes
+    beside others, and whoever asks doesn't say which of them its requests will use.
+
     Clients choose among the addresses at random and pass over those that fail. When a whole
     region is lost they can't ask again, since they ask near nodes first: the front of another
     region is then the one that is left. Near ones stand in the answer several times, so that
@@ -102,7 +109,12 @@
     allowed = allowed or list(view.ready_fronts)
     near = [node for node in allowed if node.region == region]
     nearest = serving_fronts(near or allowed, view.core_machines)
-    far = _backup(region, [node for node in allowed if node.region != region] if near else [], view)
+    others = [
+        node
+        for node in allowed
+        if node.region != region and (backups is None or node.region in backups)
+    ]
+    far = _backup(region, others if near else [], view)
     weight = max(1, (MAX_ADDRESSES - len(far)) // max(len(nearest), 1))
     times = min(NEAR_WEIGHT, weight) if far else 1
     return sorted(node.http_address for node in nearest) * times + far
--- a/rooklug/gateway/document.py
+++ b/rooklug/gateway/document.py
@@ -109,6 +109,15 @@
             return frozenset()
         return frozenset.union(*homes)
 
+    def common_homes(self, host: str) -> frozenset[str] | None:
+        """Return the regions that all bound routes of a host allow; None: none is bound."""
+        bound = [
+            frozenset(route.home_regions)
+            for route in self.routes.get(host, {}).values()
+            if route.home_regions
+        ]
+        return frozenset.intersection(*bound) if bound else None
+
 
 def read_gateway_configuration(document: bytes) -> Result[GatewayConfiguration, Problems]:
     """Read and check a document; an error lists every problem with its path."""
--- a/tests/test_gateway_control.py
+++ b/tests/test_gateway_control.py
@@ -288,8 +288,9 @@
         self.part = Directory(self.dialect, self.keeper, self.lifecycle, "10.1.0.9:8000", 2.0)
         self.be_ready()
 
-    def be_ready(self, **view):
-        read = json.dumps(document([route_item("a", "/a/", home_regions=["south"])])).encode()
+    def be_ready(self, routes=None, **view):
+        routes = routes or [route_item("a", "/a/", home_regions=["south"])]
+        read = json.dumps(document(routes)).encode()
         self.keeper._take_configuration(ConfigurationBody(1, "", read), 0.0)
         known = GatewayView(configuration=self.keeper.view.configuration, is_listed=True, **view)
         self.keeper.view = known
@@ -343,6 +344,31 @@
         answer = self.where(host="desk.example", region="south", zone="south-a")
         self.assertEqual(answer, ["10.1.0.6:8000"])
 
+    def test_a_host_with_a_bound_route_names_no_far_front_outside_its_home(self):
+        """Seen on a hunted day: one in seventeen connections led bound requests away."""
+        routes = [route_item("a", "/a/", home_regions=["south"]), route_item("b", "/b/")]
+        fronts = (front(1), front(2), front(6, region="south", zone="south-a"))
+        self.be_ready(routes, fronts=fronts)
+        answer = self.where(host="desk.example", region="south", zone="south-a")
+        self.assertEqual(answer, ["10.1.0.6:8000"])
+        answer = self.where(host="desk.example")
+        self.assertEqual(set(answer), {"10.1.0.1:8000", "10.1.0.2:8000", "10.1.0.6:8000"})
+
+    def test_the_far_front_of_several_bound_routes_is_at_home_for_all(self):
+        routes = [
+            route_item("a", "/a/", home_regions=["south", "east"]),
+            route_item("b", "/b/", home_regions=["south", "west"]),
+            route_item("c", "/c/"),
+        ]
+        east, west = ({"region": name, "zone": f"{name}-a"} for name in ("east", "west"))
+        south = {"region": "south", "zone": "south-a"}
+        self.be_ready(routes, fronts=(front(1), front(2, **east), front(3, **west)))
+        self.assertEqual(set(self.where(host="desk.example")), {"10.1.0.1:8000"})
+        known = (front(1), front(2, **east), front(3, **west), front(4, **south))
+        self.be_ready(routes, fronts=known)
+        answer = self.where(host="desk.example")
+        self.assertEqual(set(answer), {"10.1.0.1:8000", "10.1.0.4:8000"})
+
     def test_machines_that_run_a_core_come_last(self):
         fronts = tuple(front(number) for number in range(1, 5))
         self.be_ready(fronts=fronts, core_machines=frozenset({"10.1.0.1"}))
