--- a/review/common/stage.py
+++ b/review/common/stage.py
@@ -88,6 +88,7 @@
         self.exits: list[tuple[str, int]] = []
         self._started_before: set[str] = set()
         self._keepers: list[asyncio.Task] = []
+        self._stopping = False
 
     def address(self, kind: str) -> str:
         """Return the address of a listener of this machine."""
@@ -115,22 +116,25 @@
         """Start the process again shortly after it has ended, as the platform does."""
         while True:
             code = await self.processes[role].wait()
+            if self._stopping:
+                return
             self.exits.append((role, code))
             self.stage.record(self.name, f"the {role} process ended with exit code {code}")
             await asyncio.sleep(RESTART_AFTER_S)
+            if self._stopping:
+                return
             await self._start(role)
             self.stage.record(self.name, f"the {role} process was started again")
 
     async def stop(self) -> None:
         """End all processes; they are not started again."""
-        for keeper in self._keepers:
-            keeper.cancel()
-        for process in self.processes.values():
-            if process.returncode is None:
-                with contextlib.suppress(ProcessLookupError):
-                    process.send_signal(signal.SIGCONT)
-                    process.kill()
-                await process.wait()
+        self._stopping = True
+        while not all(keeper.done() for keeper in self._keepers):
+            for process in self.processes.values():
+                if process.returncode is None:
+                    with contextlib.suppress(ProcessLookupError):
+                        process.kill()
+            await asyncio.sleep(0.05)
 
     def _write_settings(self, role: str, *, first: bool) -> Path:
         stage, ports = self.stage, self.stage.ports
@@ -216,14 +220,17 @@
         self._next_replica = 0
 
     async def __aenter__(self) -> "Stage":
-        await self.serve(self.platform_address, self._serve_platform)
-        for machine in self.machines:
-            await machine.start()
+        try:
+            await self.serve(self.platform_address, self._serve_platform)
+            for machine in self.machines:
+                await machine.start()
+        except BaseException:
+            await self.__aexit__()
+            raise
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        for machine in self.machines:
-            await machine.stop()
+        await asyncio.gather(*(machine.stop() for machine in self.machines))
         for server in self._servers:
             server.close()
         shutil.rmtree(self.folder, ignore_errors=True)
@@ -447,7 +454,7 @@
     record("script", f"the disruption is {'on' if trouble else 'off'}")
     try:
         held = asyncio.run(_within(case(record, trouble=trouble)))
-    except (CouldNotRunError, TimeoutError, OSError) as problem:
+    except (CouldNotRunError, TimeoutError, OSError, asyncio.CancelledError) as problem:
         record("script", f"could not run: {problem!r}")
         print(f"could not run: {problem!r}", file=sys.stderr)
         return EXIT_NOT_RUN
@@ -456,5 +463,9 @@
 
 
 async def _within(coroutine) -> bool:  # noqa: ANN001
+    task = asyncio.current_task()
+    if task is not None:
+        # Ended by SIGTERM, the script still ends its processes.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     async with asyncio.timeout(110):
         return await coroutine
