Token counts, prompt blocks and deadlines of any length end no front

Callers saw: one request with X-Token-Counts or X-Prompt-Prefix whose number has 5,000 digits ended the front with exit code 70, and a client could end every front in turn; a block of 2**31 tokens or more ended it a moment later, when the message to the other fronts was encoded, and a count of 400 digits when the demand was divided into a float.

Cause: rooklug/gateway/requests.py converted whatever consisted of digits with int(), without a bound; int() refuses more than 4,300 digits, and the fields that carry the counts are 32-bit.

Change: the head's numbers are read by rooklug/model/input_values, within the field that carries them; what is out of bounds is ignored like other values that can't be parsed. At most 256 blocks of a prompt are read, because a decision's cost grows with them. The two token counts are taken by their position, so that an unreadable first one isn't replaced by the second.

--- a/rooklug/gateway/requests.py
+++ b/rooklug/gateway/requests.py
@@ -6,7 +6,14 @@
 
 from rooklug.engine.events import HttpRequestArrived
 from rooklug.gateway.protocols import HeaderNames
-
+from rooklug.model.constants import MAX_SAFE_INTEGER
+from rooklug.model.input_values import MAX_INT32, finite_number_text, whole_number_text
+
+MAX_TOKENS = MAX_INT32
+"""Largest token count of a prompt, a block or an answer; messages to other fronts use ``i32``."""
+MAX_PREFIX_BLOCKS = 256
+"""Further blocks of a prompt are ignored, since the cost of a decision grows with them."""
+_MS_PER_S = 1000.0
 _HOP_BY_HOP_HEADERS = frozenset(
     {
         "connection",
@@ -63,7 +70,7 @@
 def read_request(event: HttpRequestArrived, names: HeaderNames) -> InboundRequest:
     """Parse the request of an HTTP event; header fields that can't be parsed are ignored."""
     headers = event.headers
-    counts = _integers(headers.get(names.token_counts, ""))
+    prompt_tokens, _, answer_tokens = headers.get(names.token_counts, "").partition(",")
     return InboundRequest(
         http_id=event.request_id,
         method=event.method,
@@ -73,8 +80,8 @@
         request_id=headers.get(names.request_id, ""),
         deadline_s=_milliseconds(headers.get(names.deadline_ms, "")),
         prefix_blocks=_prefix_blocks(headers.get(names.prompt_parts, "")),
-        prompt_tokens=counts[0] if counts else 0,
-        answer_tokens=counts[1] if len(counts) > 1 else 0,
+        prompt_tokens=_tokens(prompt_tokens) or 0,
+        answer_tokens=_tokens(answer_tokens) or 0,
         headers=headers,
         body=event.body,
     )
@@ -91,21 +98,19 @@
 
 
 def _milliseconds(text: str) -> float | None:
-    try:
-        return max(float(text), 0.0) / 1000.0
-    except ValueError:
-        return None
+    milliseconds = finite_number_text(text, smallest=-MAX_SAFE_INTEGER)
+    return None if milliseconds is None else max(milliseconds, 0.0) / _MS_PER_S
 
 
-def _integers(text: str) -> list[int]:
-    items = [item.strip() for item in text.split(",")]
-    return [int(item) for item in items if item.isascii() and item.isdigit()]
+def _tokens(text: str) -> int | None:
+    return whole_number_text(text.strip(), MAX_TOKENS)
 
 
 def _prefix_blocks(text: str) -> tuple[PrefixBlock, ...]:
     blocks = []
-    for item in text.split(","):
-        block_id, _, tokens = item.strip().partition(":")
-        if block_id and tokens.isascii() and tokens.isdigit():
-            blocks.append(PrefixBlock(block_id, int(tokens)))
+    for item in text.split(",", MAX_PREFIX_BLOCKS)[:MAX_PREFIX_BLOCKS]:
+        block_id, _, tokens_text = item.strip().partition(":")
+        tokens = _tokens(tokens_text)
+        if block_id and tokens is not None:
+            blocks.append(PrefixBlock(block_id, tokens))
     return tuple(blocks)
--- a/rooklug/model/input_values.py
+++ b/rooklug/model/input_values.py
@@ -6,7 +6,6 @@
 """
 
 import ipaddress
-import math
 from typing import Any
 
 from rooklug.model.constants import MAX_SAFE_INTEGER
@@ -36,22 +35,25 @@
     return whole_number(int(text), 0, largest)
 
 
-def finite_number(value: Any, largest: float = MAX_SAFE_INTEGER) -> float | None:
-    """Return a parsed JSON value that is a finite number from 0 to ``largest``."""
-    if type(value) not in (int, float) or not 0 <= value <= largest:
+def finite_number(
+    value: Any, smallest: float = 0.0, largest: float = MAX_SAFE_INTEGER
+) -> float | None:
+    """Return a parsed JSON value that is a finite number from ``smallest`` to ``largest``."""
+    if type(value) not in (int, float) or not smallest <= value <= largest:
         return None
     return float(value)
 
 
-def finite_number_text(text: str, largest: float = MAX_SAFE_INTEGER) -> float | None:
-    """Return the finite number that ``text`` is, from 0 to ``largest``."""
+def finite_number_text(
+    text: str, smallest: float = 0.0, largest: float = MAX_SAFE_INTEGER
+) -> float | None:
+    """Return the finite number that ``text`` is, from ``smallest`` to ``largest``."""
     if len(text) > _MAX_NUMBER_TEXT_LENGTH:
         return None
     try:
-        number = float(text)
+        return finite_number(float(text), smallest, largest)
     except ValueError:
         return None
-    return finite_number(number, largest) if math.isfinite(number) else None
 
 
 def encodable_text(value: Any, max_length: int = MAX_TEXT_LENGTH) -> str | None:
--- a/tests/hostile_input.py
+++ b/tests/hostile_input.py
@@ -42,6 +42,14 @@
     return st.sampled_from([*edges, 0, 1, -1]) | st.sampled_from(raw).map(RawNumber)
 
 
+def header_values() -> st.SearchStrategy[str]:
+    """Return header values as a server reads them: any Latin-1 text without line breaks."""
+    text = st.text(st.characters(codec="latin-1", exclude_characters="\r\n"), max_size=40)
+    digits = st.sampled_from([LONG_DIGITS, str(2**31), str(2**63), "nan", "1e400", "²", "1_0"])
+    pairs = st.lists(st.tuples(text | digits, text | digits), max_size=4)
+    return text | digits | pairs.map(lambda found: ",".join(f"{a}:{b}" for a, b in found))
+
+
 def values() -> st.SearchStrategy[Any]:
     """Return JSON values of any type, to stand where another type is expected."""
     scalars = st.none() | st.booleans() | texts() | numbers()
