An unusable entry of the platform's list is left out, instead of ending all processes

Callers saw: one entry with a lone surrogate in a text, a slow start of 1e30 ms, infinity or 2**63, slots of 2**31 or 1.5, or an identifier that is no text ended cores and fronts of all machines, again after each restart while the entry stood; with other wrong types the whole list was lost.

Cause: the adapter passed the entry's values on as they were parsed, int() raised OverflowError on an infinite slow start, RecursionError wasn't caught, and the thrift fields of the message to the fronts don't hold such values.

Entries left out are logged once with their reason and counted in gateway_list_entries_rejected. A list with unusable entries only, or with more than 10,000, keeps the previous list (gateway_lists_unreadable_total).

--- a/rooklug/config/json_text.py
+++ b/rooklug/config/json_text.py
@@ -54,6 +54,25 @@
         return _parse_with_diagnosis(data)
 
 
+def parse_json_values(data: bytes) -> Result[Json, Problems]:
+    """Parse JSON whose values the caller checks one by one.
+
+    A value that ``parse_json`` would reject costs only itself here: a number that is out of bounds
+    becomes an object of a type of its own, and strings may have lone surrogates, which also stand
+    for bytes that are not UTF-8. Of duplicate keys the last counts.
+    """
+    try:
+        value = json.loads(
+            data.decode("utf-8", "surrogateescape"),
+            parse_constant=lambda text: _InvalidNumber(f"{text} is not a JSON number"),
+            parse_int=_read_integer,
+            parse_float=_read_float,
+        )
+    except (ValueError, RecursionError) as problem:
+        return _refuse(f"not JSON: {problem}")
+    return Ok(value)
+
+
 class _FastParseError(Exception):
     """Raised by the fast parser for text that only the diagnosing parser can accept or reject."""
 
--- a/rooklug/gateway/listing.py
+++ b/rooklug/gateway/listing.py
@@ -4,12 +4,14 @@
 polls immediately, so polling pauses for no longer than a failover takes.
 """
 
+from collections.abc import Iterable
+
 import attrs
 
 from rooklug.engine import effects as fx
 from rooklug.engine import events as ev
 from rooklug.engine.component import BaseComponent, EmitEvent
-from rooklug.engine.reducer import Identifiers
+from rooklug.engine.reducer import Identifiers, MetricSample
 from rooklug.gateway.gateway_events import ReplicasListed
 from rooklug.gateway.protocols import OperatorProtocol
 from rooklug.model.internal_events import PrimaryStarted, PrimaryStopped, TopicOffered
@@ -17,9 +19,11 @@
 from rooklug.wire.generated.control.ttypes import ListedReplica, ReplicasBody
 
 READ_INTERVAL_S = 0.9
+MAX_LISTED_REPLICAS = 10_000
 CALL_DEADLINE_S = 0.7
 _TIMER = "read"
 _OK = 200
+_MAX_LOGGED_REJECTIONS = 5
 
 
 @attrs.frozen
@@ -40,6 +44,7 @@
     """A read of the list in progress, page by page."""
 
     replicas: list[ListedReplica] = attrs.field(factory=list)
+    rejected: list[str] = attrs.field(factory=list)
     call_id: int = 0
 
 
@@ -57,6 +62,25 @@
         self._sequence = 0
         self._current_read: _ListRead | None = None
         self._last_published: tuple[_ReplicaIdentity, ...] | None = None
+        self._rejected: list[str] = []
+        self._unreadable_lists = 0
+
+    def metrics(self, now: float) -> Iterable[MetricSample]:
+        """Return how much of the platform's list could not be used."""
+        return [
+            MetricSample(
+                "gateway_list_entries_rejected",
+                float(len(self._rejected)),
+                "gauge",
+                "entries of the last list that were left out",
+            ),
+            MetricSample(
+                "gateway_lists_unreadable_total",
+                float(self._unreadable_lists),
+                "counter",
+                "lists that could not be used, so that the previous one stayed",
+            ),
+        ]
 
     def handle(self, event: ev.Event, now: float) -> list[fx.Effect]:
         """Follow the primary's term, start a read, or process a page."""
@@ -110,13 +134,37 @@
             return []
         page = self._protocol.read_listing(event.body)
         if page is None:
-            self._current_read = None
-            return [fx.Log("warning", "list of replicas unreadable; keeping the previous list")]
+            return self._keep_previous_list("it can't be parsed")
         current.replicas.extend(page.replicas)
+        current.rejected.extend(page.rejected)
+        if len(current.replicas) + len(current.rejected) > MAX_LISTED_REPLICAS:
+            return self._keep_previous_list(f"it has more than {MAX_LISTED_REPLICAS} entries")
         if page.next_page:
             return [self._fetch_page(current, page.next_page)]
         self._current_read = None
-        return self._publish(sorted(current.replicas, key=lambda replica: replica.replica_id))
+        return self._on_list_complete(current)
+
+    def _on_list_complete(self, read: _ListRead) -> list[fx.Effect]:
+        """Publish the usable entries; a list that has only unusable ones changes nothing."""
+        log = self._log_rejections(read.rejected)
+        if read.rejected and not read.replicas:
+            return [*log, *self._keep_previous_list("none of its entries can be used")]
+        replicas = sorted(read.replicas, key=lambda replica: replica.replica_id)
+        return [*log, *self._publish(replicas)]
+
+    def _keep_previous_list(self, reason: str) -> list[fx.Effect]:
+        self._current_read = None
+        self._unreadable_lists += 1
+        fields = {"reason": reason}
+        return [fx.Log("warning", "list of replicas unreadable; keeping the previous list", fields)]
+
+    def _log_rejections(self, rejected: list[str]) -> list[fx.Effect]:
+        """Log the entries left out, once for as long as they are the same."""
+        previous, self._rejected = self._rejected, rejected
+        if not rejected or rejected == previous:
+            return []
+        fields = {"count": len(rejected), "reasons": rejected[:_MAX_LOGGED_REJECTIONS]}
+        return [fx.Log("warning", "entries of the list of replicas left out", fields)]
 
     def _publish(self, replicas: list[ListedReplica]) -> list[fx.Effect]:
         identities = tuple(_identity(replica) for replica in replicas)
--- a/rooklug/gateway/protocols.py
+++ b/rooklug/gateway/protocols.py
@@ -73,10 +73,14 @@
 
 @attrs.frozen
 class ListingPage:
-    """One page of the platform's list; ``next_page`` is "" on the last one."""
+    """One page of the platform's list.
+
+    ``next_page`` is "" on the last one. ``rejected`` says for each entry that can't be used why.
+    """
 
     replicas: tuple[ListedReplica, ...]
     next_page: str
+    rejected: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/tests/test_gateway_listing.py
+++ b/tests/test_gateway_listing.py
@@ -6,7 +6,7 @@
 from rooklug.engine import events as ev
 from rooklug.engine.component import EmitEvent
 from rooklug.engine.reducer import Identifiers
-from rooklug.gateway.listing import ListingWatcher
+from rooklug.gateway.listing import MAX_LISTED_REPLICAS, ListingWatcher
 from rooklug.gateway.protocols import (
     ListingPage,
 )
@@ -76,3 +76,40 @@
         self.component.handle(ev.HttpFailed(self.call_id, "cut", ev.SendState.MAYBE_SENT), 0.0)
         self.start(ev.TimerFired("read"))
         self.assertTrue(self.read("warm"))
+
+    def test_entries_left_out_are_logged_once_and_counted(self):
+        self.pages["partly"] = ListingPage((listed(1),), "", ("address 7 of entry 'x'",))
+        self.start()
+        effects = self.read("partly")
+        self.assertEqual(self.offered(effects).body.replicas, [listed(1)])
+        (log,) = [effect for effect in effects if isinstance(effect, fx.Log)]
+        self.assertIn("left out", log.message)
+        self.assertEqual(self.metric("gateway_list_entries_rejected"), 1.0)
+        self.start(ev.TimerFired("read"))
+        self.assertEqual(self.read("partly"), [])
+
+    def test_a_list_with_unusable_entries_only_keeps_the_previous_one(self):
+        # Publishing it would take every replica out of service.
+        self.pages["unusable"] = ListingPage((), "", ("id None of entry None",))
+        self.pages["unusable-end"] = ListingPage((), "", ("id None of entry None",))
+        self.pages["first"] = ListingPage((listed(1),), "next")
+        self.start()
+        self.assertTrue(self.read("warm"))
+        self.start(ev.TimerFired("read"))
+        logs = self.read("unusable")
+        self.assertTrue(all(isinstance(effect, fx.Log) for effect in logs))
+        self.assertEqual(self.metric("gateway_lists_unreadable_total"), 1.0)
+        self.start(ev.TimerFired("read"))
+        (second,) = self.read("first")
+        self.call_id = second.call_id
+        offer = self.offered(self.read("unusable-end"))
+        self.assertEqual([r.replica_id for r in offer.body.replicas], ["r-1"])
+
+    def test_a_list_beyond_the_bound_keeps_the_previous_one(self):
+        self.pages["many"] = ListingPage((listed(1),) * (MAX_LISTED_REPLICAS + 1), "next")
+        self.start()
+        (log,) = self.read("many")
+        self.assertIsInstance(log, fx.Log)
+
+    def metric(self, name: str) -> float:
+        return next(sample.value for sample in self.component.metrics(0.0) if sample.name == name)
