--- a/rooklug/gateway/document_reader.py
+++ b/rooklug/gateway/document_reader.py
@@ -19,7 +19,10 @@
     Service,
     ServiceShare,
 )
+from rooklug.model.constants import MAX_SAFE_INTEGER
+from rooklug.model.input_values import MAX_INT32, finite_number, whole_number
 
+DEFAULT_HEALTH_PATH = "/health"
 _MS_PER_S = 1000.0
 
 
@@ -45,7 +48,7 @@
         if not isinstance(value, dict):
             self._problem("$", "must be an object")
             return None
-        version = self._integer(value, "version", "$", minimum=1)
+        version = self._integer(value, "version", "$", minimum=1, largest=MAX_SAFE_INTEGER)
         services = [self._service(*item) for item in self._items(value, "services")]
         routes = [self._route(*item) for item in self._items(value, "routes")]
         if not isinstance(value.get("limits", {}), dict):
@@ -74,31 +77,38 @@
             self._problem(f"$.{field}", "must be a list")
             return []
         found = []
-        names = Counter(item.get("name") for item in items if isinstance(item, dict))
         for index, item in enumerate(items):
             path = f"$.{field}[{index}]"
             if not isinstance(item, dict) or not isinstance(item.get("name"), str):
                 self._problem(path, "must be an object with a name")
                 continue
-            if names[item["name"]] > 1:
-                self._problem(path, f"the name {item['name']!r} stands twice")
             found.append((item, path))
+        occurrences = Counter(item["name"] for item, _ in found)
+        for item, path in found:
+            if occurrences[item["name"]] > 1:
+                self._problem(path, f"the name {item['name']!r} stands twice")
         return found
 
     def _service(self, item: dict, path: str) -> Service | None:
         engine = item.get("engine")
+        if engine is not None and not isinstance(engine, dict):
+            self._problem(f"{path}.engine", "must be an object")
+            engine = None
         return Service(
             name=item["name"],
-            health_path=str(item.get("health_path") or "/health"),
+            health_path=self._text(item, "health_path", path) or DEFAULT_HEALTH_PATH,
             max_connections=self._integer(item, "max_connections", path, default=1),
             slow_start_rate_per_s=self._number(item, "cold_requests_per_s", path),
-            engine=self._engine(engine, path) if isinstance(engine, dict) else None,
+            engine=self._engine(engine, path) if engine is not None else None,
         )
 
     def _engine(self, item: dict, path: str) -> Engine:
+        path = f"{path}.engine"
         return Engine(
-            slots=self._integer(item, "slots", f"{path}.engine", default=1),
-            key_value_tokens=self._integer(item, "key_value_tokens", f"{path}.engine", default=0),
+            slots=self._integer(item, "slots", path, default=1),
+            key_value_tokens=self._integer(
+                item, "key_value_tokens", path, default=0, largest=MAX_SAFE_INTEGER
+            ),
         )
 
     def _route(self, item: dict, path: str) -> Route | None:
@@ -110,7 +120,6 @@
         timeout_ms = self._number(item, "timeout_ms", path)
         if timeout_ms <= 0:
             self._problem(path, "timeout_ms must be above 0")
-        homes = item.get("home_regions") or []
         return Route(
             name=item["name"],
             host=host.lower(),
@@ -121,10 +130,10 @@
             priority=self._integer(item, "priority", path, default=0),
             shares=self._shares(item, path),
             max_replicas=self._integer(item, "max_replicas", path, default=1),
-            affinity=bool(item.get("affinity", False)),
-            resumable=bool(item.get("resumable", False)),
+            affinity=self._flag(item, "affinity", path),
+            resumable=self._flag(item, "resumable", path),
             gap_objective_s=self._number(item, "gap_objective_ms", path) / _MS_PER_S,
-            home_regions=tuple(str(home) for home in homes) if isinstance(homes, list) else (),
+            home_regions=self._texts(item, "home_regions", path),
         )
 
     def _execution(self, item: dict, path: str) -> Execution:
@@ -145,31 +154,59 @@
         if not isinstance(listed, list) or not all(isinstance(entry, dict) for entry in listed):
             self._problem(path, "service_weights must be a list of objects")
             return ()
+        if not all(isinstance(entry.get("service"), str) for entry in listed):
+            self._problem(path, "each of service_weights needs a service")
+            return ()
         shares = tuple(
-            ServiceShare(str(entry.get("service")), self._number(entry, "weight", path))
-            for entry in listed
+            ServiceShare(entry["service"], self._number(entry, "weight", path)) for entry in listed
         )
-        if sum(share.weight for share in shares) <= 0 or any(s.weight < 0 for s in shares):
+        if sum(share.weight for share in shares) <= 0:
             self._problem(path, "the weights must add up to more than 0")
         return shares
 
     def _integer(
-        self, item: dict, field: str, path: str, default: int | None = None, minimum: int = 0
+        self,
+        item: dict,
+        field: str,
+        path: str,
+        default: int | None = None,
+        minimum: int = 0,
+        largest: int = MAX_INT32,
     ) -> int:
-        value = item.get(field, default)
-        if isinstance(value, bool) or not isinstance(value, int) or value < minimum:
-            self._problem(f"{path}.{field}", f"must be a whole number from {minimum}")
+        value = whole_number(item.get(field, default), minimum, largest)
+        if value is None:
+            self._problem(f"{path}.{field}", f"must be a whole number from {minimum} to {largest}")
             return minimum
         return value
 
     def _number(self, item: dict, field: str, path: str) -> float:
-        value = item.get(field, 0)
-        if value is None:
+        value = item.get(field)
+        number = 0.0 if value is None else finite_number(value)
+        if number is None:
+            self._problem(f"{path}.{field}", f"must be a number from 0 to {MAX_SAFE_INTEGER}")
             return 0.0
-        if isinstance(value, bool) or not isinstance(value, int | float):
-            self._problem(f"{path}.{field}", "must be a number")
-            return 0.0
-        return float(value)
+        return number
+
+    def _flag(self, item: dict, field: str, path: str) -> bool:
+        value = item.get(field)
+        if value is not None and not isinstance(value, bool):
+            self._problem(f"{path}.{field}", "must be true or false")
+        return value is True
+
+    def _text(self, item: dict, field: str, path: str) -> str:
+        value = item.get(field)
+        if value is not None and not isinstance(value, str):
+            self._problem(f"{path}.{field}", "must be a text")
+        return value if isinstance(value, str) else ""
+
+    def _texts(self, item: dict, field: str, path: str) -> tuple[str, ...]:
+        value = item.get(field)
+        if value is None:
+            return ()
+        if not isinstance(value, list) or not all(isinstance(text, str) for text in value):
+            self._problem(f"{path}.{field}", "must be a list of texts")
+            return ()
+        return tuple(value)
 
     def _problem(self, path: str, message: str) -> None:
         self.problems.append(Problem(path, message))
