An exception in a reader of outside input costs only that input

Readers of an operator's call, the platform's list, a client's request and an address lookup stand before the reducer and own no state. They are now called through gateway/input_reader.InputReader: if one raises, the call or request gets a 4xx, a list keeps its predecessor, the first exception is logged with its traceback and each is counted in gateway_input_reader_failures_total. Within the reducer an exception still ends the process, which protects leases, log and votes.

A log line with a lone surrogate is written with the surrogate escaped; the stream refused it.

Evidence: tests/test_input_reader.py replaces each reader by one that raises; before, the exception left the component, which ends the process.

--- a/rooklug/gateway/answers.py
+++ b/rooklug/gateway/answers.py
@@ -10,6 +10,7 @@
     """Why a client gets no replica's response. Each value is the error code and HTTP status."""
 
     NOT_READY = ("not_ready", 503)
+    BAD_REQUEST = ("bad_request", 400)
     NO_ROUTE = ("no_route", 404)
     NOT_RUN = ("not_run", 503)
     ENDING = ("ending", 503)
--- a/rooklug/gateway/directory.py
+++ b/rooklug/gateway/directory.py
@@ -1,10 +1,13 @@
 """Answers clients' address lookups and the platform's readiness checks."""
 
 import json
+from collections.abc import Iterable
 
 from rooklug.engine import effects as fx
 from rooklug.engine import events as ev
 from rooklug.engine.component import BaseComponent
+from rooklug.engine.reducer import MetricSample
+from rooklug.gateway.input_reader import InputReader
 from rooklug.gateway.lifecycle import Lifecycle
 from rooklug.gateway.protocols import ClientProtocol, ResolveRequest
 from rooklug.gateway.serving_fronts import serving_fronts
@@ -45,21 +48,29 @@
         ttl_s: float,
     ) -> None:
         self._protocol = protocol
+        self._lookups: InputReader[ResolveRequest | None] = InputReader(
+            "address lookup", protocol.read_resolve_request, None
+        )
         self._view_builder = view_builder
         self._lifecycle = lifecycle
         self._own_address = own_address
         self._ttl_s = ttl_s
         self._first_given_at: dict[tuple[str, ...], float] = {}
 
+    def metrics(self, now: float) -> Iterable[MetricSample]:
+        """Return how many lookups could not be read because of a bug."""
+        return self._lookups.metrics()
+
     def handle(self, event: ev.Event, now: float) -> list[fx.Effect]:
         """Answer an address lookup or a readiness check; other events are ignored."""
         if not isinstance(event, ev.HttpRequestArrived):
             return []
         if event.listener == READINESS_LISTENER:
             return [self._readiness(event)]
-        resolve = self._protocol.read_resolve_request(event)
+        resolve = self._lookups.read(event)
         if resolve is None:
-            return [fx.HttpRespond(event.request_id, 404, b"{}", _JSON)]
+            not_found = fx.HttpRespond(event.request_id, 404, b"{}", _JSON)
+            return [*self._lookups.take_logs(), not_found]
         addresses = self._addresses(resolve)
         if not addresses:
             return [fx.HttpRespond(event.request_id, 503, b"{}", _JSON)]
--- a/rooklug/gateway/executor.py
+++ b/rooklug/gateway/executor.py
@@ -15,11 +15,12 @@
 from rooklug.engine.component import BaseComponent, EmitEvent
 from rooklug.engine.reducer import Identifiers, MetricSample
 from rooklug.front.outcomes import AttemptOutcome
-from rooklug.gateway.answers import GatewayError
+from rooklug.gateway.answers import GatewayError, error_answer
 from rooklug.gateway.client_answers import MIN_RETRY_AFTER_S
 from rooklug.gateway.decision import Decision
 from rooklug.gateway.document import Route
 from rooklug.gateway.gateway_events import RequestCounted, ViewChanged
+from rooklug.gateway.input_reader import InputReader
 from rooklug.gateway.protocols import HeaderNames
 from rooklug.gateway.proxied_request import ProxiedRequest, ResponseState
 from rooklug.gateway.request_forwarder import GatewayCounters, RequestForwarder
@@ -63,6 +64,9 @@
         grace_s: float = 8.0,
     ) -> None:
         self._forwarder = RequestForwarder(decision, names, identifiers, budget)
+        self._heads: InputReader[InboundRequest | None] = InputReader(
+            "client's request", lambda event: read_request(event, names), None
+        )
         self._grace_s = grace_s
         self._started_at = 0.0
         self._draining_since: float | None = None
@@ -111,7 +115,10 @@
         return [
             MetricSample(f"gateway_requests_{name}_total", float(value), "counter", name)
             for name, value in attrs.asdict(self.counters).items()
-        ] + [MetricSample("gateway_requests_active", float(self.active()), "gauge", "under way")]
+        ] + [
+            MetricSample("gateway_requests_active", float(self.active()), "gauge", "under way"),
+            *self._heads.metrics(),
+        ]
 
     # Process lifecycle ----------------------------------------------------
 
@@ -132,7 +139,10 @@
 
     def _on_request_arrived(self, event: ev.HttpRequestArrived, now: float) -> list[fx.Effect]:
         self.counters.arrived += 1
-        request = read_request(event, self._forwarder.names)
+        request = self._heads.read(event)
+        if request is None:
+            rejection = error_answer(event.request_id, GatewayError.BAD_REQUEST, {})
+            return [*self._heads.take_logs(), rejection]
         configuration = self.decision.view.configuration
         if configuration is None or not self.decision.view.has_replica_list:
             ready_at = self._started_at + TYPICAL_START_S + START_SPREAD_S * request.draw
--- a/rooklug/gateway/listing.py
+++ b/rooklug/gateway/listing.py
@@ -13,7 +13,8 @@
 from rooklug.engine.component import BaseComponent, EmitEvent
 from rooklug.engine.reducer import Identifiers, MetricSample
 from rooklug.gateway.gateway_events import ReplicasListed
-from rooklug.gateway.protocols import OperatorProtocol
+from rooklug.gateway.input_reader import InputReader
+from rooklug.gateway.protocols import ListingPage, OperatorProtocol
 from rooklug.model.internal_events import PrimaryStarted, PrimaryStopped, TopicOffered
 from rooklug.model.topics import REPLICAS
 from rooklug.wire.generated.control.ttypes import ListedReplica, ReplicasBody
@@ -55,7 +56,10 @@
     subscribes_to = (PrimaryStarted, PrimaryStopped)
 
     def __init__(self, protocol: OperatorProtocol, address: str, identifiers: Identifiers) -> None:
-        self._protocol = protocol
+        self._listing_path = protocol.listing_path
+        self._pages: InputReader[ListingPage | None] = InputReader(
+            "list of replicas", protocol.read_listing, None
+        )
         self._address = address
         self._identifiers = identifiers
         self._epoch = 0
@@ -80,6 +84,7 @@
                 "counter",
                 "lists that could not be used, so that the previous one stayed",
             ),
+            *self._pages.metrics(),
         ]
 
     def handle(self, event: ev.Event, now: float) -> list[fx.Effect]:
@@ -122,7 +127,7 @@
             call_id=read.call_id,
             address=self._address,
             method="GET",
-            path=self._protocol.listing_path(page),
+            path=self._listing_path(page),
             body=b"",
             deadline_s=CALL_DEADLINE_S,
             connect_deadline_s=CALL_DEADLINE_S,
@@ -132,9 +137,9 @@
         current = self._current_read
         if current is None or event.call_id != current.call_id or event.status != _OK:
             return []
-        page = self._protocol.read_listing(event.body)
+        page = self._pages.read(event.body)
         if page is None:
-            return self._keep_previous_list("it can't be parsed")
+            return [*self._pages.take_logs(), *self._keep_previous_list("it can't be parsed")]
         current.replicas.extend(page.replicas)
         current.rejected.extend(page.rejected)
         if len(current.replicas) + len(current.rejected) > MAX_LISTED_REPLICAS:
--- a/rooklug/gateway/operator_api.py
+++ b/rooklug/gateway/operator_api.py
@@ -7,13 +7,15 @@
 
 import hashlib
 import json
+from collections.abc import Iterable
 
 import attrs
 
 from rooklug.engine import effects as fx
 from rooklug.engine import events as ev
 from rooklug.engine.component import BaseComponent
-from rooklug.engine.reducer import ProcessContext
+from rooklug.engine.reducer import MetricSample, ProcessContext
+from rooklug.gateway.input_reader import InputReader
 from rooklug.gateway.protocols import (
     BadCall,
     DrainZone,
@@ -63,13 +65,20 @@
     subscribes_to = (PrimaryChanged, ZonesCommitted)
 
     def __init__(self, protocol: OperatorProtocol, context: ProcessContext) -> None:
-        self._protocol = protocol
+        self._write_configuration = protocol.write_configuration
+        self._calls: InputReader[OperatorCall] = InputReader(
+            "operator's call", protocol.read_call, BadCall(400, "the call can't be read")
+        )
         self._context = context
         self._primary = ""
         self._known_zones = ZERO_VERSION
         self._by_http: dict[int, _ForwardedCall] = {}
         self._by_call: dict[int, _ForwardedCall] = {}
 
+    def metrics(self, now: float) -> Iterable[MetricSample]:
+        """Return how many calls could not be read because of a bug."""
+        return self._calls.metrics()
+
     def handle(self, event: ev.Event, now: float) -> list[fx.Effect]:
         """Handle an operator's call, the primary's answer, a retry timer or a disconnect."""
         match event:
@@ -93,9 +102,10 @@
         return []
 
     def _on_request_arrived(self, event: ev.HttpRequestArrived, now: float) -> list[fx.Effect]:
-        call = self._protocol.read_call(event)
+        call = self._calls.read(event)
         if isinstance(call, BadCall):
-            return [_respond(event.request_id, call.status, {"error": call.message})]
+            respond = _respond(event.request_id, call.status, {"error": call.message})
+            return [*self._calls.take_logs(), respond]
         timeout_s = ANSWER_TIMEOUT_S + len(event.body) / BYTES_PER_S
         forwarded = _ForwardedCall(event.request_id, self._message(call), now + timeout_s)
         self._by_http[event.request_id] = forwarded
@@ -162,7 +172,7 @@
         self._by_http.pop(forwarded.http_id, None)
         if not answer.configuration.version:
             return [_respond(forwarded.http_id, 503, {"error": "no configuration yet"})]
-        body = self._protocol.write_configuration(answer.configuration.document)
+        body = self._write_configuration(answer.configuration.document)
         return [fx.HttpRespond(forwarded.http_id, 200, body, _JSON)]
 
     def _finish(self, forwarded: _ForwardedCall, status: int, body: dict) -> list[fx.Effect]:
--- a/rooklug/runtime/log.py
+++ b/rooklug/runtime/log.py
@@ -33,7 +33,7 @@
     """
 
     def format(self, record: logging.LogRecord) -> str:
-        """Return one JSON line without the newline."""
+        """Return one JSON line without the newline; lone surrogates are escaped."""
         entry = cast(LogEntry, record.msg)
         line = {
             "ts": datetime.fromtimestamp(record.created, UTC).isoformat(timespec="milliseconds"),
@@ -43,7 +43,8 @@
         }
         for name, value in entry.fields.items():
             line.setdefault(name, value)
-        return json.dumps(line, default=str, ensure_ascii=False)
+        text = json.dumps(line, default=str, ensure_ascii=False)
+        return text.encode("utf-8", "backslashreplace").decode("utf-8")
 
 
 class NodeLog:
