--- a/rooklug/controller/json_fields.py
+++ b/rooklug/controller/json_fields.py
@@ -3,7 +3,7 @@
 import math
 from typing import Any, TypeGuard
 
-from rooklug.model.constants import MAX_SAFE_INTEGER
+from rooklug.model.input_values import is_encodable, whole_number
 
 
 class MalformedError(ValueError):
@@ -15,7 +15,7 @@
 
     Booleans, a subclass of ``int``, don't count.
     """
-    return type(value) is int and 0 <= value <= MAX_SAFE_INTEGER
+    return whole_number(value) is not None
 
 
 def count_field(document: dict[str, Any], key: str) -> int:
@@ -49,8 +49,6 @@
     value = document.get(key)
     if not isinstance(value, str) or not (value or may_be_empty):
         raise MalformedError(f"{key} must be a non-empty string")
-    try:
-        value.encode()
-    except UnicodeEncodeError as problem:
-        raise MalformedError(f"{key} can't be encoded as UTF-8") from problem
+    if not is_encodable(value):
+        raise MalformedError(f"{key} can't be encoded as UTF-8")
     return value
