--- a/rooklug/engine/effects.py
+++ b/rooklug/engine/effects.py
@@ -140,7 +140,10 @@
     are ``HttpResponseStarted``, chunks, then ``HttpResponseCompleted``; or ``HttpFailed`` at any
     point. ``connect_deadline_s`` limits the time to connect, ``first_byte_deadline_s`` the time
     until the response's head (0: no separate limit), ``deadline_s`` the whole call.
-    ``not_after`` is the same as in ``Call``.
+    ``not_after`` is the same as in ``Call``. ``echoed_header`` names, in lower case, a header of
+    the request that the server repeats in its response; "" if it repeats none. A response with
+    another value belongs to an earlier request: it is skipped, and the connection is not used
+    again.
     """
 
     call_id: int
@@ -154,6 +157,17 @@
     connect_deadline_s: float = 1.0
     first_byte_deadline_s: float = 0.0
     not_after: float | None = None
+    echoed_header: str = ""
+
+    def is_response_to_another(self, headers: dict[str, str]) -> bool:
+        """Return whether a response with these headers belongs to another request."""
+        sent = self.headers.get(self.echoed_header)
+        return sent is not None and headers.get(self.echoed_header, sent) != sent
+
+    def is_identified_by(self, headers: dict[str, str]) -> bool:
+        """Return whether a response states that it belongs to this call, if it has to."""
+        sent = self.headers.get(self.echoed_header)
+        return sent is None or headers.get(self.echoed_header) == sent
 
 
 @attrs.frozen
--- a/rooklug/front/attempt_runner.py
+++ b/rooklug/front/attempt_runner.py
@@ -108,6 +108,7 @@
             connect_deadline_s=min(CONNECT_DEADLINE_S, time_left),
             first_byte_deadline_s=min(first_chunk_s, time_left),
             not_after=serve_at.until,
+            echoed_header=REQUEST_ID_HEADER,
         )
 
     def handle_event(
--- a/rooklug/gateway/response_handler.py
+++ b/rooklug/gateway/response_handler.py
@@ -5,14 +5,18 @@
 from rooklug.front.outcomes import AttemptOutcome
 from rooklug.gateway.event_stream import complete_length, last_event_id
 from rooklug.gateway.proxied_request import ProxiedRequest, ResponseState
-from rooklug.gateway.replica_call import REPLACED_STATUS, is_answer_to, is_not_executed
+from rooklug.gateway.replica_call import (
+    BAD_REQUEST_STATUS,
+    REPLACED_STATUS,
+    Promise,
+    promise_of,
+)
 from rooklug.gateway.request_forwarder import (
     MIN_TIME_TO_SEND_S,
     RETRY_AFTER_FULL_S,
     RequestForwarder,
 )
 
-BAD_REQUEST_STATUS = 400
 FIRST_SERVER_ERROR_STATUS = 500
 MAX_UNSENT_ATTEMPTS = 4
 """Maximum number of replicas tried for one request when connections can't be established."""
@@ -47,9 +51,10 @@
         proxied.error_body = []
         if not proxied.is_success:
             return []
-        if not is_answer_to(proxied, event.headers, self._forwarder.names):
+        promise = promise_of(proxied, event.status, event.headers, self._forwarder.names)
+        if promise is not Promise.ANSWER:
             cancel = self._forwarder.cancel_call(event.call_id)
-            return [cancel, *self._retry_after_broken_answer(proxied, now)]
+            return [cancel, *self._retry_without_answer(proxied, promise, now)]
         if proxied.response_state is ResponseState.STREAMING:
             return []  # the client already has the headers of the first replica
         proxied.response_state = ResponseState.STREAMING
@@ -126,11 +131,12 @@
         body: bytes,
         now: float,
     ) -> list[fx.Effect]:
-        if is_not_executed(status, headers, self._forwarder.names):
+        promise = promise_of(proxied, status, headers, self._forwarder.names)
+        if promise is Promise.NOT_EXECUTED:
             self._forwarder.record_end(proxied, None, now)
             return self._retry_not_executed(proxied, status, headers, body, now)
-        if not is_answer_to(proxied, headers, self._forwarder.names):
-            return self._retry_after_broken_answer(proxied, now)
+        if promise is not Promise.ANSWER:
+            return self._retry_without_answer(proxied, promise, now)
         is_server_error = status >= FIRST_SERVER_ERROR_STATUS
         outcome = AttemptOutcome.BROKEN if is_server_error else AttemptOutcome.SUCCESS
         self._forwarder.record_end(proxied, outcome, now)
@@ -154,8 +160,12 @@
             self._forwarder.decision.traffic.record_address_mismatch(proxied.sent_to)
         return self._forwarder.retry(proxied, now)
 
-    def _retry_after_broken_answer(self, proxied: ProxiedRequest, now: float) -> list[fx.Effect]:
-        self._forwarder.record_end(proxied, AttemptOutcome.BROKEN, now)
+    def _retry_without_answer(
+        self, proxied: ProxiedRequest, promise: Promise, now: float
+    ) -> list[fx.Effect]:
+        """Retry if the request may run twice; another's response says nothing of the replica."""
+        outcome = None if promise is Promise.FOREIGN else AttemptOutcome.BROKEN
+        self._forwarder.record_end(proxied, outcome, now)
         proxied.may_have_run = True
         return self._forwarder.retry(proxied, now)
 
--- a/rooklug/runtime/host.py
+++ b/rooklug/runtime/host.py
@@ -245,7 +245,11 @@
         self._stop(effect.exit_code, _FLUSH_TIMEOUT_S)
 
     def _render_metrics(self) -> bytes:
-        samples = [*self.reducer.metrics(self._loop.time()), *self._metrics.samples()]
+        samples = [
+            *self.reducer.metrics(self._loop.time()),
+            *self._metrics.samples(),
+            *self._http_client.samples(),
+        ]
         return render_metrics(samples)
 
     # Start and stop -------------------------------------------------------
--- a/rooklug/runtime/http_client.py
+++ b/rooklug/runtime/http_client.py
@@ -11,6 +11,7 @@
 
 from rooklug.engine import events as ev
 from rooklug.engine.effects import HttpCall
+from rooklug.engine.reducer import MetricSample
 from rooklug.runtime.addresses import ConnectError
 from rooklug.runtime.http_pool import ClientStream, ConnectionPool, keep_alive_s
 from rooklug.runtime.tasks import BackgroundTasks, LogWriter
@@ -19,6 +20,7 @@
 _UNBOUNDED_BYTES = 1 << 62
 _MAX_HEADER_BYTES = 64 * 1024
 _READ_CHUNK_BYTES = 64 * 1024
+_MAX_SKIPPED_RESPONSES = 8
 _NO_BODY_STATUSES = (204, 304)
 HTTP_OK = 200
 _HEAD_METHOD = HTTPMethod.HEAD.value
@@ -31,6 +33,11 @@
 class _ClientConnection(HTTP1Connection):
     """Passes on the body of a response without a length as it arrives, without a size limit."""
 
+    def expect_further_response(self, start_line: httputil.RequestStartLine) -> None:
+        """Prepare for reading one more response to a request that has already been written."""
+        self._request_start_line = start_line
+        self.finish()
+
     async def _read_body_until_close(self, delegate: httputil.HTTPMessageDelegate) -> None:
         while True:
             try:
@@ -61,6 +68,8 @@
         self._headers: dict[str, str] = {}
         self._body: list[bytes] = []
         self._response_complete = False
+        self._skipping = False
+        self._skipped_responses = 0
         self._keep_alive = False
         self._timers = [client.loop.call_later(effect.deadline_s, self._fail, "deadline")]
         if effect.first_byte_deadline_s > 0:
@@ -95,16 +104,21 @@
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
         headers: httputil.HTTPHeaders,
     ) -> Awaitable[None] | None:
-        """Record status and headers; informational (1xx) responses are ignored."""
+        """Record status and headers; informational (1xx) and foreign responses are ignored."""
         start_line = cast(httputil.ResponseStartLine, start_line)
-        if start_line.code < HTTP_OK:
+        lowered = {name.lower(): value for name, value in headers.items()}
+        self._skipping = self.effect.is_response_to_another(lowered)
+        self._skipped_responses += self._skipping
+        if self._skipping or start_line.code < HTTP_OK:
             return None
         self._send_state = ev.SendState.RESPONDING
         self._status = start_line.code
-        self._headers = {name.lower(): value for name, value in headers.items()}
+        self._headers = lowered
         self._keep_alive = (
             start_line.version == "HTTP/1.1"
             and self._headers.get("connection", "").lower() != "close"
+            and not self._skipped_responses
+            and self.effect.is_identified_by(lowered)
         )
         if not self.effect.streaming:
             return None
@@ -113,6 +127,8 @@
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Deliver a chunk of a streaming response, or buffer it until the response is complete."""
+        if self._skipping:
+            return None
         if self.effect.streaming:
             return self._deliver(ev.HttpBodyChunk(self.effect.call_id, chunk))
         self._body.append(chunk)
@@ -122,8 +138,10 @@
         """End the call if the response is complete.
 
         A response without a length is complete only if the server closed the connection without
-        an error.
+        an error. The end of a skipped response is ignored.
         """
+        if self._skipping:
+            return
         framed = (
             "content-length" in self._headers
             or "transfer-encoding" in self._headers
@@ -160,11 +178,7 @@
 
     async def _exchange(self, stream: ClientStream) -> None:
         effect = self.effect
-        bound = _UNBOUNDED_BYTES if effect.streaming else MAX_ANSWER_BYTES
-        parameters = HTTP1ConnectionParameters(
-            max_header_size=_MAX_HEADER_BYTES, max_body_size=bound
-        )
-        connection = _ClientConnection(stream, is_client=True, params=parameters)
+        connection = self._connection_on(stream)
         headers = httputil.HTTPHeaders(effect.headers)
         headers.setdefault("host", effect.address)
         if effect.body or effect.method not in ("GET", _HEAD_METHOD):
@@ -177,8 +191,28 @@
         connection.write_headers(start_line, headers, effect.body)
         connection.finish()
         await connection.read_response(self)
+        while self._skipping and not stream.closed():
+            await self._read_past_skipped(stream, start_line)
+
+    async def _read_past_skipped(
+        self, stream: ClientStream, start_line: httputil.RequestStartLine
+    ) -> None:
+        """Read the response that follows one that belongs to an earlier request."""
+        if self._skipped_responses > _MAX_SKIPPED_RESPONSES:
+            raise httputil.HTTPInputError("too many responses to other requests")
+        connection = self._connection_on(stream)
+        connection.expect_further_response(start_line)
+        await connection.read_response(self)
+
+    def _connection_on(self, stream: ClientStream) -> _ClientConnection:
+        bound = _UNBOUNDED_BYTES if self.effect.streaming else MAX_ANSWER_BYTES
+        parameters = HTTP1ConnectionParameters(
+            max_header_size=_MAX_HEADER_BYTES, max_body_size=bound
+        )
+        return _ClientConnection(stream, is_client=True, params=parameters)
 
     def _end_exchange(self) -> None:
+        self._client.skipped_responses += self._skipped_responses
         if not self._response_complete:
             self._fail("connection closed before the response was complete")
         elif self._keep_alive and not self._cancelled:
@@ -250,6 +284,7 @@
         self.deliver = deliver
         self.pool = ConnectionPool(loop, bind_ip)
         self.calls: dict[int, _ClientCall] = {}
+        self.skipped_responses = 0
         self._tasks = BackgroundTasks(loop, log)
 
     def start(self, effect: HttpCall) -> None:
@@ -264,6 +299,17 @@
         if call is not None:
             call.cancel()
 
+    def samples(self) -> list[MetricSample]:
+        """Return how many responses belonged to other requests than the one in flight."""
+        return [
+            MetricSample(
+                "rooklug_http_skipped_responses",
+                float(self.skipped_responses),
+                "counter",
+                "Responses of servers that belonged to another request",
+            )
+        ]
+
     def close(self) -> None:
         """Cancel every call and close the pooled connections."""
         for call in list(self.calls.values()):
--- a/rooklug_lab/gateway/replicas.py
+++ b/rooklug_lab/gateway/replicas.py
@@ -3,6 +3,7 @@
 import json
 from collections.abc import Callable, Iterable
 from enum import Enum
+from itertools import cycle
 
 import attrs
 
@@ -17,6 +18,7 @@
 """How long a stopped replica stays listed, even beside its successor."""
 LIST_LAG_S = 0.8
 EVENT_COUNT = 12
+REJECTION_STATUSES = (503, 421, 429)
 FIRST_EVENT_S = 0.15
 EVENT_INTERVAL_S = 0.1
 RESPONSE_S = 0.03
@@ -29,6 +31,7 @@
     FAILS = "runs a request and answers with a failure"
     REJECTS = "rejects every request before it runs"
     SILENT = "takes a request and never says anything"
+    REPEATS_REJECTIONS = "rejects, and sends the rejection again in place of the next answer"
 
 
 @attrs.define(eq=False)
@@ -67,6 +70,8 @@
         self._replica_id = context.incarnation
         self._journal = journal
         self._running: dict[str, tuple[int, int, str]] = {}
+        self._late_rejections: dict[str, fx.HttpRespond] = {}
+        self._rejection_statuses = cycle(REJECTION_STATUSES)
 
     def metrics(self, now: float) -> Iterable[MetricSample]:
         """Return no samples; stand-ins have no metrics."""
@@ -92,6 +97,29 @@
         if rejects or len(self._running) >= self._entry.slots:
             headers[NAMES.not_executed] = "1"
             return [fx.HttpRespond(event.request_id, 503, b"", headers)]
+        late = self._late_rejections.pop(event.remote_address, None)
+        if late is None and self._entry.conduct is Conduct.REPEATS_REJECTIONS:
+            return [self._reject_to_repeat(event, headers)]
+        accepted = self._accept(event, request_id, headers, now)
+        return (
+            accepted
+            if late is None
+            else [attrs.evolve(late, request_id=event.request_id), *accepted]
+        )
+
+    def _reject_to_repeat(
+        self, event: ev.HttpRequestArrived, headers: dict[str, str]
+    ) -> fx.HttpRespond:
+        """Reject a request, with each promise in turn, and keep the response for a repetition."""
+        headers[NAMES.not_executed] = "1"
+        status = next(self._rejection_statuses)
+        rejection = fx.HttpRespond(event.request_id, status, b"", headers)
+        self._late_rejections[event.remote_address] = rejection
+        return rejection
+
+    def _accept(
+        self, event: ev.HttpRequestArrived, request_id: str, headers: dict[str, str], now: float
+    ) -> list[fx.Effect]:
         cold = now < self._entry.cold_until
         run = Run(request_id, self._replica_id, self._entry.zone, now, cold, self._entry.region)
         self._journal.runs.append(run)
--- a/rooklug_lab/gateway/scenarios.py
+++ b/rooklug_lab/gateway/scenarios.py
@@ -174,6 +174,17 @@
             site.later(begin_s, action)
 
 
+def rejections_come_twice(site: GatewaySite, random: Random) -> None:
+    """Replicas send rejections a second time, late, in the place of the next answer."""
+    site.change(["again"])
+    site.later(3.5, lambda: site.add_path("/again/1"))
+    for entry in random.sample(site.replicas, len(site.replicas) // 2):
+        for begin_s in (4.0, 8.0, 12.0):
+            begin_s += random.uniform(0.0, 1.5)
+            action = partial(site.misbehave, entry, Conduct.REPEATS_REJECTIONS, 2.0)
+            site.later(begin_s, action)
+
+
 SCENARIOS: dict[str, Scenario] = {
     scenario.__name__: scenario
     for scenario in (
@@ -188,6 +199,7 @@
         region_is_lost,
         control_falls_apart,
         replicas_lie,
+        rejections_come_twice,
         random_day,
         *LARGE_DAYS,
     )
--- a/rooklug_lab/sim/exchanges.py
+++ b/rooklug_lab/sim/exchanges.py
@@ -113,6 +113,10 @@
             generation = server.generation
             self._scheduler.after(0.0, lambda: server.deliver_if(generation, body))
             return
+        if isinstance(effect, fx.HttpRespond | fx.HttpStreamStart) and _is_skipped(
+            exchange, effect
+        ):
+            return
         if isinstance(effect, fx.HttpRespond | fx.HttpStreamEnd | fx.HttpStreamAbort):
             exchange.server_open = False
             del self._by_request[effect.request_id]
@@ -291,3 +295,9 @@
                 client.deliver_if(generation, event)
 
         self._scheduler.after(wait_s, fail)
+
+
+def _is_skipped(exchange: Exchange, effect: fx.HttpRespond | fx.HttpStreamStart) -> bool:
+    """Return whether the client skips a response because it belongs to an earlier request."""
+    headers = {name.lower(): value for name, value in effect.headers.items()}
+    return exchange.effect.is_response_to_another(headers)
--- a/tests/test_gateway_executor.py
+++ b/tests/test_gateway_executor.py
@@ -11,7 +11,11 @@
 AT_MOST_ONCE = route_item("once", "/pay/")
 IDEMPOTENT = route_item("again", "/again/", execution="repeatable", max_replicas=2)
 STREAM = route_item("stream", "/s/", execution="event_stream", service="model", timeout_ms=5000)
-NOT_EXECUTED = {NAMES.not_executed: "1"}
+
+
+def not_executed(call: fx.HttpCall) -> dict[str, str]:
+    """Return the headers with which a replica rejects a call."""
+    return answer_headers(call, **{NAMES.not_executed: "1"})
 
 
 class Forwarding(unittest.TestCase):
@@ -106,14 +110,15 @@
 
     def test_a_rejected_request_with_one_allowed_attempt_gets_retry_after(self):
         (call,) = self.front.request("/pay/1")
-        (answer,) = self.front.handle(ev.HttpAnswered(call.call_id, 503, NOT_EXECUTED, b""))
+        (answer,) = self.front.handle(ev.HttpAnswered(call.call_id, 503, not_executed(call), b""))
         self.assertEqual(answer.status, 503)
         self.assertGreater(float(answer.headers["retry-after"]), 0)
 
     def test_a_request_that_may_have_run_never_gets_503(self):
         (call,) = self.front.request("/again/1")
         (second,) = self.front.handle(ev.HttpFailed(call.call_id, "reset", ev.SendState.MAYBE_SENT))
-        (answer,) = self.front.handle(ev.HttpAnswered(second.call_id, 503, NOT_EXECUTED, b""))
+        rejection = ev.HttpAnswered(second.call_id, 503, not_executed(second), b"")
+        (answer,) = self.front.handle(rejection)
         self.assertEqual(answer.status, 502)
 
     def test_a_request_is_sent_to_no_more_replicas_than_the_route_allows(self):
@@ -140,7 +145,8 @@
 
     def test_a_replaced_replica_uses_up_no_attempt(self):
         (call,) = self.front.request("/pay/1")
-        (second,) = self.front.handle(ev.HttpAnswered(call.call_id, 421, {}, b""))
+        rejection = ev.HttpAnswered(call.call_id, 421, answer_headers(call), b"")
+        (second,) = self.front.handle(rejection)
         self.assertNotEqual(second.address, call.address)
 
 
@@ -241,7 +247,7 @@
         (second,) = self.front.handle(
             ev.HttpFailed(self.call.call_id, "reset", ev.SendState.RESPONDING)
         )
-        self.front.handle(ev.HttpResponseStarted(second.call_id, 503, NOT_EXECUTED))
+        self.front.handle(ev.HttpResponseStarted(second.call_id, 503, not_executed(second)))
         (end,) = self.front.handle(ev.HttpResponseCompleted(second.call_id))
         self.assertIsInstance(end, fx.HttpStreamAbort)
 
--- a/tests/test_gateway_site.py
+++ b/tests/test_gateway_site.py
@@ -13,10 +13,11 @@
 
 from rooklug.core.change_history import ChangeHistory, Classification, Verdict
 from rooklug.engine import effects as fx
-from rooklug.gateway import view_builder
+from rooklug.gateway import response_handler, view_builder
 from rooklug.gateway.decision import Decision
 from rooklug.gateway.executor import GatewayExecutor
 from rooklug.gateway.proxied_request import ProxiedRequest
+from rooklug.gateway.replica_call import NOT_EXECUTED_STATUSES, Promise
 from rooklug.gateway.replica_rate_limiter import Allowance, ReplicaRateLimiter
 from rooklug.gateway.request_forwarder import RequestForwarder
 from rooklug.gateway.slow_start_limiter import SlowStartLimiter
@@ -81,6 +82,9 @@
     def test_replicas_lie(self) -> None:
         self.check("replicas_lie")
 
+    def test_rejections_come_twice(self) -> None:
+        self.check("rejections_come_twice")
+
     def test_random_day(self) -> None:
         self.check("random_day")
 
@@ -139,6 +143,10 @@
     return Classification(Verdict.FRESH)
 
 
+def _promise_of_the_status(proxied: ProxiedRequest, status: int, *_: Any) -> Promise:
+    return Promise.NOT_EXECUTED if status in NOT_EXECUTED_STATUSES else Promise.ANSWER
+
+
 def _always_free(*_: Any) -> Allowance:
     return Allowance.FREE
 
@@ -165,6 +173,24 @@
         always = lambda proxied: True  # noqa: E731
         self.caught("runs_once", "replicas_fail", ProxiedRequest, "may_send_again", always)
 
+    def test_a_late_rejection_of_another_request_is_not_taken_for_an_answer(self) -> None:
+        # The rejection's status was looked at before its id, so the request that was in flight
+        # ran and was said not to have (review/1).
+        any_answer = lambda call, headers: False  # noqa: E731
+        with mock.patch.object(response_handler, "promise_of", _promise_of_the_status):
+            self.caught(
+                "promises_hold",
+                "rejections_come_twice",
+                fx.HttpCall,
+                "is_response_to_another",
+                any_answer,
+            )
+
+    def test_the_response_handler_looks_at_the_id_itself(self) -> None:
+        any_answer = lambda call, headers: False  # noqa: E731
+        with mock.patch.object(fx.HttpCall, "is_response_to_another", any_answer):
+            self.assertEqual(run_gateway_scenario("rejections_come_twice", 1).broken, {})
+
     def test_not_run_is_answered_only_if_the_request_has_not_run(self) -> None:
         never_ran = property(lambda proxied: False, lambda proxied, value: None)
         self.caught("promises_hold", "replicas_fail", ProxiedRequest, "may_have_run", never_ran)
--- a/tests/test_gateway_stale_endpoints.py
+++ b/tests/test_gateway_stale_endpoints.py
@@ -6,7 +6,7 @@
 from rooklug.engine import events as ev
 from rooklug.gateway.retry_budget import RetryBudgets, RetryBudgetSettings
 from rooklug.gateway.stale_endpoint_detector import StaleEndpointDetector
-from tests.gateway_support import GatewayFront, replica, route_item
+from tests.gateway_support import GatewayFront, answer_headers, replica, route_item
 
 AT_MOST_ONCE = route_item("once", "/pay/")
 NO_RETRIES = RetryBudgetSettings(ratio=0.0, window_s=10.0, slack=0.0)
@@ -20,7 +20,7 @@
 
 class RejectedRequests(unittest.TestCase):
     def reject(self, front: GatewayFront, call: fx.HttpCall) -> fx.Effect:
-        (effect,) = front.handle(ev.HttpAnswered(call.call_id, 421, {}, b""))
+        (effect,) = front.handle(ev.HttpAnswered(call.call_id, 421, answer_headers(call), b""))
         return effect
 
     def reached_replicas(self, front: GatewayFront) -> int:
