--- a/idl/core.thrift
+++ b/idl/core.thrift
@@ -39,6 +39,7 @@
   6: optional View view                    // the accepted one; its epoch is the accepted epoch
   7: required list<MemberDisk> disks       // each core's newest known disk
   8: required list<string> retired         // disk ids whose promises are void
+  9: optional list<CoreMember> founders    // set while this witness takes part in the first view
 }
 
 // Log entries ---------------------------------------------------------------
@@ -136,6 +137,7 @@
   1: required bool noted
 }
 
+// Sent by earlier builds only, which formed the first view by the acceptance of all founders
 struct FormViewRequest {
   1: required MemberDisk proposer
   2: required View view
--- a/rooklug/core/constants.py
+++ b/rooklug/core/constants.py
@@ -55,8 +55,6 @@
 
 EPOCH_SLOTS = 3
 """A core with index ``i`` proposes only epochs equal to ``i`` modulo this."""
-FIRST_EPOCH = EPOCH_SLOTS
-"""The epoch of the first view."""
 REPLACE_AFTER_S = 1.6
 """A joining core may replace a member that has had no contact for this long."""
 DRAINING_VALID_S = 10.0
--- a/rooklug/core/control_state_component.py
+++ b/rooklug/core/control_state_component.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from rooklug.core import witness_rules
 from rooklug.core.announcer import Announcer
 from rooklug.core.backup import Backup
 from rooklug.core.call_handlers import CallHandlers
@@ -24,7 +25,7 @@
     TICK_TIMER,
 )
 from rooklug.core.disk import Disk
-from rooklug.core.disk_identity import check_disk, new_incarnation
+from rooklug.core.disk_identity import DiskCheck, check_disk, new_incarnation
 from rooklug.core.documents import DocumentChecker
 from rooklug.core.formation import Formation
 from rooklug.core.http_interface import PREFIX, HttpInterface
@@ -36,7 +37,7 @@
 from rooklug.core.recovery import Recovery
 from rooklug.core.status import StatusSources, core_status
 from rooklug.core.store import ReplicaStore
-from rooklug.core.types import Position, View
+from rooklug.core.types import Position, View, WitnessState
 from rooklug.core.view_change import ViewChanger
 from rooklug.core.witness import Witness, blank_state
 from rooklug.engine import effects as fx
@@ -68,6 +69,7 @@
     ) -> None:
         self._context = context
         self._exits_on_failed_write = settings.exits_on_failed_write
+        self._disk_never_voted = settings.disk_never_voted
         self._stopping = False
         self.failure = ""
         self._build_replica(settings)
@@ -121,7 +123,6 @@
             self.peers,
             self.outbox,
             self.witness,
-            self._on_view_chosen,
             first_start=settings.first_start,
         )
         self.join_requester = JoinRequester(
@@ -142,7 +143,6 @@
             wire.PrepareRequest: self.witness.on_prepare,
             wire.AcceptRequest: self.witness.on_accept,
             wire.ReadWitnessRequest: self.witness.on_read,
-            wire.FormViewRequest: self.witness.on_form,
             wire.AdoptViewRequest: self.witness.on_adopt,
             wire.JoinRequest: self._handlers.on_join,
             wire.LeaveRequest: self._handlers.on_leave,
@@ -206,10 +206,19 @@
         else:
             own = new_incarnation(self.peers.own_id, event, self._context.incarnation)
             self.outbox.log("warning", "disk starts a new incarnation", reason=reason)
-            self.witness.start_new_incarnation(blank_state(own, event.disk_identity), now)
+            state = self._state_of_new_disk(blank_state(own, event.disk_identity), checked)
+            self.witness.start_new_incarnation(state, now)
             self.store.rewrite_all(now)
+        self.candidacy.wait_for_other_founders(now)
         self.outbox.add(fx.StartTimer(TICK_TIMER, TICK_INTERVAL_S))
 
+    def _state_of_new_disk(self, blank: WitnessState, checked: DiskCheck) -> WitnessState:
+        """Return a founder's state if the disk is blank and has certainly never voted."""
+        is_founder = self.peers.own_id in self.peers.founders
+        if not (self._disk_never_voted and checked.is_blank and is_founder):
+            return blank
+        return witness_rules.become_founder(blank, self.peers.founding_members()) or blank
+
     def _on_timer(self, name: str, now: float) -> None:
         if name == FAILED_TIMER:
             self.outbox.add(fx.StopProcess(EXIT_FAILED, self.failure))
--- a/rooklug/core/disk_identity.py
+++ b/rooklug/core/disk_identity.py
@@ -6,23 +6,29 @@
 from rooklug.core.records import witness_from_wire
 from rooklug.core.types import MemberDisk, WitnessState
 from rooklug.engine.events import Started
+from rooklug.storage.folder import PROBLEM_DAMAGED
 from rooklug.wire.codec import decode
 from rooklug.wire.generated.core.ttypes import WitnessRecord
 
 
 @attrs.frozen
 class DiskCheck:
-    """The witness state found on disk, or None and the reason why it can't be trusted."""
+    """The witness state found on disk, or None and the reason why it can't be trusted.
+
+    ``is_blank`` says that the disk holds nothing at all: no records, and no damaged ones.
+    """
 
     witness: WitnessState | None
     reason: str
+    is_blank: bool = False
 
 
 def check_disk(event: Started, core_id: str) -> DiskCheck:
     """Return the last witness record if the disk is intact and belongs to this core."""
     records = event.records.get(WITNESS_FILE, ())
-    if not records:
-        return DiskCheck(None, "the disk is blank")
+    is_damaged = event.disk_problem.startswith(PROBLEM_DAMAGED)
+    if not records and not is_damaged:
+        return DiskCheck(None, "the disk is blank", is_blank=not any(event.records.values()))
     if event.disk_problem:
         return DiskCheck(None, f"the disk is damaged: {event.disk_problem}")
     decoded = decode(WitnessRecord, records[-1])
--- a/rooklug/core/formation.py
+++ b/rooklug/core/formation.py
@@ -1,71 +1,74 @@
-"""How a core without a vote obtains one: at the first start, or after it has lost its disk."""
+"""How a core without a vote obtains one: at the first start, or after it has lost its disk.
 
-from collections.abc import Callable
+The founders form the first view by an ordinary view change, in which those vote that have recorded
+on their disk that they are founders. A core whose deployment knows that its disk has never voted
+records it at its start (``ControlStateComponent``). Any other blank disk may have voted and been
+lost; this module reads the other witnesses to find out what it may do.
+"""
 
 from rooklug.core import witness_rules
-from rooklug.core.constants import FIRST_EPOCH, MESSAGE_DEADLINE_S, READ_WITNESS_INTERVAL_S
+from rooklug.core.constants import MESSAGE_DEADLINE_S, READ_WITNESS_INTERVAL_S
 from rooklug.core.outbox import Outbox
 from rooklug.core.peers import Peers
-from rooklug.core.records import disk_to_wire, view_to_wire, witness_from_wire
-from rooklug.core.types import MemberDisk, View, WitnessState
+from rooklug.core.records import disk_to_wire, witness_from_wire
+from rooklug.core.types import CoreMember, MemberDisk, View, WitnessState
 from rooklug.core.witness import Witness
 from rooklug.wire.generated.core import ttypes as wire
 
 WAITING = "waiting for the other cores"
-FIRST_START = "all three disks are blank: forming the first view"
-NO_FIRST_START = "no core that answers has data, and this is no first start: nothing is formed"
+FORMING = "forming the first view: a majority of the founders is needed"
 JOINING = "asks the primary to make it a member"
+NO_FIRST_START = (
+    "the disks of all cores are blank, and this is no first start: the data is missing, and "
+    "nothing is formed; start a core with its disk, or run the runbook recover-cores"
+)
 DATA_LOSS_SUSPECTED = (
     "two disks are blank beside one with data: this is no first start; "
-    "nothing starts by itself, run the runbook recover"
+    "nothing starts by itself, run the runbook recover-cores"
 )
 
 
 class Formation:
     """Reads the other cores' witnesses until this core's witness may vote.
 
-    ``waiting_reason`` is the reason why it may not vote yet, as shown in the status.
-    ``on_formed(view, sent_at, now)`` is called when all cores have accepted the first view.
+    ``waiting_reason`` is the reason why it may not vote yet, as shown in the status. With
+    ``first_start`` the founders may form the first view if the disks of all of them are blank.
     """
 
     def __init__(
-        self,
-        peers: Peers,
-        outbox: Outbox,
-        witness: Witness,
-        on_formed: Callable[[View, float, float], None],
-        *,
-        first_start: bool,
+        self, peers: Peers, outbox: Outbox, witness: Witness, *, first_start: bool
     ) -> None:
         self._first_start = first_start
         self._peers = peers
         self._outbox = outbox
         self._witness = witness
-        self._on_formed = on_formed
         self._read_at = 0.0
         self._attempt = 0
         self._states: dict[str, WitnessState] = {}
-        self._proposed_view: View | None = None
-        self._accepted_by: set[str] = set()
         self.waiting_reason = WAITING
 
     def tick(self, now: float) -> None:
         """While this witness may not vote, read the others every ``READ_WITNESS_INTERVAL_S``."""
         if self._witness.state.voting or now < self._read_at:
             return
+        self._report_unanswered()
         self._read_at = now + READ_WITNESS_INTERVAL_S
         self._attempt += 1
         self._states = {}
         own = self._witness.state.own
         attempt = self._attempt
-        self._witness.save(self._witness.state, now, lambda now: self._read(own, attempt))
+        self._witness.save(self._witness.state, now, lambda now: self._read(own, attempt, now))
+
+    def is_member(self) -> bool:
+        """Return whether the newest view read so far has this core as a voting member."""
+        return self._peers.own_id in self._peers.members_of(self._newest_view())
 
-    def _read(self, own: MemberDisk, attempt: int) -> None:
+    def _read(self, own: MemberDisk, attempt: int, now: float) -> None:
         request = wire.ReadWitnessRequest(reader=disk_to_wire(own))
         for core_id in self._peers.known_others:
             self._send_read(core_id, request, attempt)
         if not self._peers.known_others:
-            self._propose_first_view([], self._read_at)
+            self._decide(now)
 
     def _send_read(self, core_id: str, request: wire.ReadWitnessRequest, attempt: int) -> None:
         def answered(answer: wire.ReadWitnessAnswer, now: float) -> None:
@@ -76,7 +79,7 @@
 
     def _record_state(self, core_id: str, answer: wire.ReadWitnessAnswer, now: float) -> None:
         if not answer.registered:
-            self.waiting_reason = "this disk was replaced by a newer one: empty its data folder"
+            self._wait("this disk was replaced by a newer one: empty its data folder")
             return
         state = witness_from_wire(answer.state)
         self._states[core_id] = state
@@ -85,77 +88,63 @@
             self._peers.learn(state.view.previous)
         self._decide(now)
 
-    def is_member(self) -> bool:
-        """Return whether the newest view read so far has this core as a voting member."""
-        return self._peers.own_id in self._peers.members_of(self._newest_view())
-
     def _newest_view(self) -> View | None:
         views = [state.view for state in self._states.values() if state.view is not None]
         return max(views, key=lambda view: view.epoch, default=None)
 
     def _decide(self, now: float) -> None:
         newest = self._newest_view()
-        if newest is not None and not self.is_member():
-            self.waiting_reason = JOINING
+        founders = self._founders()
+        members = newest.member_ids if newest else frozenset(m.core_id for m in founders)
+        members = members or self._peers.founders
+        if self._peers.own_id not in members:
+            self._wait(JOINING)
             return
-        members = self._peers.members_of(newest)
         states = [self._states[core_id] for core_id in sorted(self._states) if core_id in members]
         recovered = witness_rules.recover_vote(self._witness.state, states, len(members))
         if recovered is not None:
-            self._outbox.log("info", "witness may vote again", disk=recovered.own.disk_id)
-            self._witness.last_heartbeat_at = now
-            self._witness.save(recovered, now, lambda now: None)
-            return
-        if len(states) < len(members) - 1:
-            return
-        if not any(state.voting for state in states):
-            self._propose_first_view(states, now)
-            return
-        self._join_first_view(states, now)
-
-    def _join_first_view(self, states: list[WitnessState], now: float) -> None:
-        """Accept the first view, which another core has accepted, if this core is in it."""
-        views = [state.view for state in states if state.voting and state.view is not None]
-        formed = witness_rules.accept_first_view(self._witness.state, views[0]) if views else None
-        if formed is None:
-            self.waiting_reason = DATA_LOSS_SUSPECTED
-            return
-        self._witness.save(formed, now, lambda now: None)
+            self._obtain_vote(recovered, now)
+        elif len(states) >= len(members) - 1:
+            self._decide_without_quorum(newest, founders, states, now)
 
-    def _propose_first_view(self, states: list[WitnessState], now: float) -> None:
-        if not self._first_start:
-            self.waiting_reason = NO_FIRST_START
-            return
-        self.waiting_reason = FIRST_START
-        if self._peers.own_id != min(self._peers.founders):
-            return
-        own = self._witness.state.own
-        disks = tuple(sorted([own, *(state.own for state in states)]))
-        members = self._peers.founding_members()
-        view = View(FIRST_EPOCH, own.core_id, disks, members)
-        self._proposed_view = view
-        self._accepted_by = set()
-        request = wire.FormViewRequest(proposer=disk_to_wire(own), view=view_to_wire(view))
-        for core_id in self._peers.others:
-            self._send_first_view(core_id, request, view, now)
-        self._finish_if_accepted_by_all(view, now, now)
-
-    def _send_first_view(
-        self, core_id: str, request: wire.FormViewRequest, view: View, sent_at: float
+    def _decide_without_quorum(
+        self,
+        newest: View | None,
+        founders: tuple[CoreMember, ...],
+        states: list[WitnessState],
+        now: float,
     ) -> None:
-        def answered(answer: wire.FormViewAnswer, now: float) -> None:
-            if answer.accepted and self._proposed_view == view:
-                self._accepted_by.add(core_id)
-                self._finish_if_accepted_by_all(view, sent_at, now)
-
-        self._outbox.call(self._peers.address(core_id), request, MESSAGE_DEADLINE_S, answered)
-
-    def _finish_if_accepted_by_all(self, view: View, sent_at: float, now: float) -> None:
-        if len(self._accepted_by) < len(self._peers.others) or self._witness.state.voting:
-            return
-        formed = witness_rules.accept_first_view(self._witness.state, view)
-        if formed is None:
-            return
-        self._proposed_view = None
-        self._witness.record_heartbeat(self._witness.state.own, view.epoch, now)
-        self._witness.save(formed, now, lambda now: self._on_formed(view, sent_at, now))
+        """Decide when all other members have answered, and too few of them may vote."""
+        is_interrupted = any(state.voting for state in states)
+        if newest is not None:
+            self._wait(DATA_LOSS_SUSPECTED)
+        elif not (self._first_start or is_interrupted):
+            self._wait(NO_FIRST_START)
+        else:
+            founder = witness_rules.become_founder(self._witness.state, founders, states)
+            if founder is not None:
+                self._obtain_vote(founder, now)
+
+    def _founders(self) -> tuple[CoreMember, ...]:
+        """Return the founders that a witness has recorded, else those of the settings.
+
+        The settings of a later start may name other cores than those of the first start.
+        """
+        recorded = (state.founders for state in self._states.values() if state.founders)
+        return next(recorded, self._peers.founding_members())
+
+    def _obtain_vote(self, state: WitnessState, now: float) -> None:
+        self._outbox.log("info", "witness may vote", disk=state.own.disk_id)
+        self._witness.save(state, now, lambda now: None)
+        self._witness.guard_earlier_lease(now)
+
+    def _report_unanswered(self) -> None:
+        """State which cores did not answer the previous read, if that prevents a decision."""
+        missing = sorted(set(self._peers.known_others) - set(self._states))
+        if self._attempt and missing and self.waiting_reason not in (JOINING, NO_FIRST_START):
+            self._wait(f"{WAITING}: no answer from {', '.join(missing)}")
+
+    def _wait(self, reason: str) -> None:
+        if reason != self.waiting_reason:
+            self.waiting_reason = reason
+            self._outbox.log("warning", "witness may not vote", reason=reason)
--- a/rooklug/core/peers.py
+++ b/rooklug/core/peers.py
@@ -15,7 +15,8 @@
         Internal addresses by core id: at first those of the settings, extended by each view
         that this core learns of.
     founders
-        The cores of the settings, which are the members of the first view.
+        The members of the first view: the cores of the settings, until this core's witness has
+        recorded those that it forms the view with.
     view
         The newest view that this core's witness has accepted or learned.
     """
@@ -35,6 +36,12 @@
             self.learn(view.members)
             self.learn(view.previous)
 
+    def adopt_founders(self, founders: tuple[CoreMember, ...]) -> None:
+        """Set the members of the first view, if the witness has recorded them."""
+        if founders:
+            self.learn(founders)
+            self.founders = frozenset(member.core_id for member in founders)
+
     def learn(self, members: tuple[CoreMember, ...]) -> None:
         """Add the members' addresses."""
         for member in members:
--- a/rooklug/core/records.py
+++ b/rooklug/core/records.py
@@ -82,6 +82,7 @@
         view=view_to_wire(state.view) if state.view else None,
         disks=[disk_to_wire(disk) for disk in state.disks],
         retired=list(state.retired),
+        founders=[member_to_wire(member) for member in state.founders] or None,
     )
 
 
@@ -96,6 +97,7 @@
         view=view_from_wire(record.view) if record.view else None,
         disks=tuple(disk_from_wire(disk) for disk in record.disks),
         retired=tuple(record.retired),
+        founders=tuple(member_from_wire(member) for member in record.founders or ()),
     )
 
 
--- a/rooklug/core/status.py
+++ b/rooklug/core/status.py
@@ -3,7 +3,7 @@
 import attrs
 
 from rooklug.core.announcer import Announcer
-from rooklug.core.formation import Formation
+from rooklug.core.formation import FORMING, Formation
 from rooklug.core.peers import Peers
 from rooklug.core.primary import Primary
 from rooklug.core.store import ReplicaStore
@@ -64,6 +64,8 @@
         return sources.failure
     if not sources.witness.state.voting:
         return sources.formation.waiting_reason
+    if sources.witness.state.view is None:
+        return FORMING
     no_primary = not sources.announcer.primary_id
     blank_others = sources.view_changer.blank_others
     if no_primary and len(blank_others) == len(sources.peers.others):
--- a/rooklug/core/types.py
+++ b/rooklug/core/types.py
@@ -98,6 +98,9 @@
         The known disk of each core, sorted.
     retired
         The ids of disks that were replaced by new ones, sorted.
+    founders
+        The cores that form the first view, sorted, if this witness takes part in that; it may vote
+        then although it knows no view yet.
     """
 
     own: MemberDisk
@@ -108,6 +111,7 @@
     view: View | None = None
     disks: tuple[MemberDisk, ...] = ()
     retired: tuple[str, ...] = ()
+    founders: tuple[CoreMember, ...] = ()
 
     @property
     def accepted_epoch(self) -> int:
--- a/rooklug/core/view_change.py
+++ b/rooklug/core/view_change.py
@@ -248,6 +248,7 @@
             current.excluded,
             current.change,
             current.chosen_view,
+            self._witness.state.founders,
         )
         if view is None:
             self._fail(current, "this disk isn't in sync in the newest view", now)
--- a/rooklug/core/witness.py
+++ b/rooklug/core/witness.py
@@ -53,9 +53,18 @@
         """Start from a stored state; guard a lease that it may have guarded before the restart."""
         self.state = state
         self._peers.adopt(state.view)
+        self._peers.adopt_founders(state.founders)
         self.supported_primary = _primary_disk(state.view)
         self.supported_epoch = state.accepted_epoch
-        self.last_heartbeat_at = now
+        self.guard_earlier_lease(now)
+
+    def guard_earlier_lease(self, now: float) -> None:
+        """Guard the lease that this witness may have confirmed before it was started.
+
+        A founder that knows no view can't have confirmed any.
+        """
+        knows_no_lease = self.state.voting and self.state.view is None
+        self.last_heartbeat_at = NEVER if knows_no_lease else now
 
     def start_new_incarnation(self, state: WitnessState, now: float) -> None:
         """Start with the state of a new incarnation of the disk, and rewrite the file."""
@@ -68,6 +77,7 @@
         if state != self.state:
             self.state = state
             self._peers.adopt(state.view)
+            self._peers.adopt_founders(state.founders)
             self._write(encode(witness_to_wire(state)), now)
         self._disk.after_sync(now, then)
 
@@ -145,16 +155,6 @@
         ):
             self.last_heartbeat_at = min(self.last_heartbeat_at, now - LEASE_GUARD_S)
 
-    def on_form(self, call_id: int, request: wire.FormViewRequest, now: float) -> None:
-        """Handle the request to accept the first view of the group."""
-        state = witness_rules.accept_first_view(self.state, view_from_wire(request.view))
-        if state is None:
-            self._outbox.answer(call_id, wire.FormViewAnswer(accepted=False))
-            return
-        self.record_heartbeat(disk_from_wire(request.proposer), request.view.epoch, now)
-        answer = wire.FormViewAnswer(accepted=True)
-        self.save(state, now, lambda now: self._outbox.answer(call_id, answer))
-
     def on_adopt(self, call_id: int, request: wire.AdoptViewRequest, now: float) -> None:
         """Handle the request to adopt the view of an operator-confirmed recovery."""
         proposer = disk_from_wire(request.proposer)
--- a/rooklug/core/witness_rules.py
+++ b/rooklug/core/witness_rules.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from rooklug.core.constants import EPOCH_SLOTS, FIRST_EPOCH
+from rooklug.core.constants import EPOCH_SLOTS
 from rooklug.core.quorum import readers_needed
 from rooklug.core.types import CoreMember, MemberDisk, Promise, View, WitnessState
 
@@ -54,8 +54,11 @@
     ``promises`` are the disks whose promises the proposal is based on. A view is refused if one
     of them has been lost since, because the new disk doesn't know of that promise.
     """
+    promises = tuple(promises)
     if not state.voting or any(voter.disk_id in state.retired for voter in promises):
         return None
+    if state.view is None and _rests_on_another_disk(state, promises):
+        return None
     if state.own not in promises:
         return None
     if view.epoch != state.promised_epoch or proposer != state.promised_to:
@@ -63,6 +66,16 @@
     return attrs.evolve(state, view=view)
 
 
+def _rests_on_another_disk(state: WitnessState, promises: Iterable[MemberDisk]) -> bool:
+    """Return whether a promise comes from a disk other than the one registered for its core.
+
+    Before the first view, a disk may be lost whose identity no other witness has recorded, so that
+    it can't be retired. Its core's new disk is registered, and the lost one's promises are void.
+    """
+    registered = {disk.core_id: disk for disk in state.disks}
+    return any(registered.get(voter.core_id, voter) != voter for voter in promises)
+
+
 def learn_view(state: WitnessState, view: View) -> WitnessState | None:
     """Adopt a view that a majority has accepted; None when it is outdated."""
     if not state.voting or view.epoch < state.promised_epoch:
@@ -92,17 +105,40 @@
     return attrs.evolve(state, disks=disks, retired=tuple(sorted(retired)))
 
 
-def accept_first_view(state: WitnessState, view: View) -> WitnessState | None:
-    """Accept the first view of the group; None when refused.
+def become_founder(
+    state: WitnessState, founders: tuple[CoreMember, ...], others: Iterable[WitnessState] = ()
+) -> WitnessState | None:
+    """Obtain a vote for the first view; None when refused.
 
-    Only a witness that may not vote yet accepts it, or one that has accepted it already.
+    Without ``others`` the caller must know that this disk has never voted: it is blank at the first
+    start of the group. Else ``others`` are the states of ALL other founders, which have registered
+    this disk. A view that was chosen with the vote of a lost disk is still known to one of them, or
+    the accept that would choose it rests on the lost disk's promise, and is refused.
     """
-    if state.voting:
-        return state if state.view == view else None
-    if view.epoch != FIRST_EPOCH or not view.has(state.own):
+    others = tuple(others)
+    if state.voting or any(known.view is not None for known in (state, *others)):
+        return None
+    if any(state.own.disk_id in other.retired for other in others):
         return None
+    return _with_votes_of(attrs.evolve(state, voting=True, founders=founders), others)
+
+
+def _with_votes_of(state: WitnessState, others: Iterable[WitnessState]) -> WitnessState:
+    """Return a state that is bound by the others' promises and knows their disks.
+
+    A disk that has registered itself at this witness replaces the one that an answer names.
+    """
+    others = tuple(others)
+    newest = max((state, *others), key=lambda known: known.promised_epoch)
+    disks = {other.own.core_id: other.own for other in others}
+    disks |= {disk.core_id: disk for disk in state.disks}
+    disks[state.own.core_id] = state.own
     return attrs.evolve(
-        state, voting=True, promised_epoch=view.epoch, view=view, disks=tuple(sorted(view.in_sync))
+        state,
+        promised_epoch=newest.promised_epoch,
+        promised_to=newest.promised_to,
+        disks=tuple(sorted(disks.values())),
+        retired=tuple(sorted({*state.retired, *(d for other in others for d in other.retired)})),
     )
 
 
@@ -121,6 +157,9 @@
     retired = {disk_id for other in others for disk_id in other.retired}
     if state.own.disk_id in retired:
         return None
+    if all(other.view is None for other in others):
+        founders = next((other.founders for other in others if other.founders), ())
+        return _with_votes_of(attrs.evolve(state, voting=True, founders=founders), others)
     newest = max(others, key=lambda other: other.promised_epoch)
     view = max((other.view for other in others), key=lambda view: view.epoch if view else 0)
     return attrs.evolve(
@@ -180,9 +219,12 @@
     excluded: frozenset[str] = frozenset(),
     change: MemberChange | None = None,
     chosen_view: View | None = None,
+    founders: tuple[CoreMember, ...] = (),
 ) -> View | None:
     """Return the view to propose, or None when this core may not become the primary.
 
+    If no view is known yet, the ``founders`` become the members of the first one.
+
     Only a disk that is in sync in the newest accepted view may lead. Another disk stays in sync
     if it was, or is admitted if its log is equal to the proposer's. All of them have promised
     ``epoch``, so no earlier primary can change their logs any more.
@@ -193,6 +235,8 @@
     """
     others = list(others)
     latest = newest_view(own, others)
+    if latest is None and founders:
+        latest = View(0, own.voter.core_id, (own.voter,), founders)
     if latest is None or not latest.has(own.voter):
         return None
     members, previous = latest.members, latest.previous
--- a/rooklug_lab/gateway/site.py
+++ b/rooklug_lab/gateway/site.py
@@ -330,6 +330,7 @@
                 members,
                 self._first_start,
                 min_in_sync_replicas=self.shape.min_in_sync_replicas,
+                disk_never_voted=self._first_start,
             )
             return compose_gateway_core(settings, context, operator_protocol())
 
--- a/tests/core_exploration_states.py
+++ b/tests/core_exploration_states.py
@@ -3,10 +3,10 @@
 import attrs
 
 from rooklug.core import witness_rules
-from rooklug.core.constants import FIRST_EPOCH
 from rooklug.core.types import MemberDisk, Promise, View, WitnessState
 
 CORES = ("a", "b", "c")
+FIRST_EPOCH = 3
 Log = tuple[int, ...]  # the epoch of each entry
 
 
--- a/tests/core_member_exploration.py
+++ b/tests/core_member_exploration.py
@@ -13,9 +13,8 @@
 import attrs
 
 from rooklug.core import quorum, witness_rules
-from rooklug.core.constants import FIRST_EPOCH
 from rooklug.core.types import CoreMember, MemberDisk, Position, Promise, View, WitnessState
-from tests.core_exploration_states import Accept
+from tests.core_exploration_states import FIRST_EPOCH, Accept
 
 CORES = ("a", "b", "c", "d")
 START = Position(0, 0)
--- a/tests/core_mutations.py
+++ b/tests/core_mutations.py
@@ -12,6 +12,7 @@
 from rooklug.core.disk import Disk
 from rooklug.core.primary import Primary
 from rooklug.core.replicator import Replicator
+from rooklug.core.store import ReplicaStore
 
 
 @attrs.frozen
@@ -47,8 +48,18 @@
     then(now)
 
 
+def _written_counts_as_synced(
+    self: ReplicaStore, entries: Any, now: float, then: Any = None
+) -> None:
+    _WRITE_ENTRIES(self, entries, now, then)
+    self.synced = self.last.sequence
+
+
+_WRITE_ENTRIES = ReplicaStore.write_entries
+
 COMMIT_FROM_OWN_DISK = Mutation(Replicator, "acknowledged_by_all", _synced_on_own_disk)
 SKIP_LOG_COMPARISON = Mutation(Backup, "_match_log", _accept_without_comparison)
 IGNORE_LEASE = Mutation(Primary, "is_active", _active_without_lease)
 KEEP_NEWEST_IDENTITY_ONLY = Mutation(ChangeHistory, "classify_change", _classify_by_newest_version)
 ANSWER_BEFORE_SYNC = Mutation(Disk, "after_sync", _continue_before_sync)
+COUNT_WRITTEN_AS_SYNCED = Mutation(ReplicaStore, "write_entries", _written_counts_as_synced)
