Nodes of the first start let blank cores form the first view

Cause: no disk holds anything then, and the processes that follow are told that it is no first start; the cores alone can't tell this from the loss of all disks.

Change: a node whose process was started with the group says in its lease renewals that it has heard of no primary since. Blank founders form the first view if all of them answer, none knows a view, and such a report came within 5 s. Where at most as many disks are lost as a majority bears, blank disks everywhere mean that no view was chosen; the report keeps a total loss from being taken for a first start. Blank disks without it are refused as before, with a log line and in the status.

Evidence: tests/test_core_formation.py (Refusal), test_distribution_core_link.py (GroupStart), test_gateway_site.py (FirstStart).

--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -43,6 +43,8 @@
   3: required bool leaving                // true: give the lease and all grants back now
   4: required i64 sequence                // grows with each renewal of one incarnation; a late one is ignored
   5: required i64 seen_epoch              // highest epoch that answered this incarnation, 0: none yet
+  6: optional bool group_is_starting      // set: this incarnation began with the group's first start
+                                          // and no primary has answered it
 }
 struct RenewLeaseAnswer {
   1: required bool granted
--- a/rooklug/core/constants.py
+++ b/rooklug/core/constants.py
@@ -41,6 +41,8 @@
 """Upper bound of the random delay in addition to it after a failed proposal."""
 READ_WITNESS_INTERVAL_S = 0.3
 """Interval at which a core without a vote reads the other witnesses."""
+GROUP_START_REPORT_VALID_S = 5.0
+"""Age at which a node's report that the group is at its first start is dropped."""
 CATCH_UP_PAUSE_S = 0.25
 """The longest pause of appends during which a learner's log may become equal to the primary's."""
 CATCH_UP_LAG_ENTRIES = 256
--- a/rooklug/core/control_state_component.py
+++ b/rooklug/core/control_state_component.py
@@ -44,6 +44,7 @@
 from rooklug.engine import events as ev
 from rooklug.engine.component import BaseComponent
 from rooklug.engine.reducer import MetricSample, ProcessContext
+from rooklug.model.internal_events import GroupStartReported
 from rooklug.model.settings import CoreSettings
 from rooklug.wire.generated.control import ttypes as control
 from rooklug.wire.generated.control.ttypes import CoreStatus
@@ -63,6 +64,7 @@
 
     name = "control-state"
     http_prefixes = (PREFIX,)
+    subscribes_to = (GroupStartReported,)
 
     def __init__(
         self, settings: CoreSettings, context: ProcessContext, checker: DocumentChecker
@@ -188,6 +190,8 @@
                 self._handler_by_call[type(event.request)](event.call_id, event.request, now)
             case ev.CallAnswered() | ev.CallFailed():
                 self.outbox.complete_call(event, now)
+            case GroupStartReported():
+                self.formation.record_group_start(now)
             case ev.WriteFinished():
                 self.disk.on_write_finished(event.ticket, now)
             case ev.WriteFailed():
--- a/rooklug/core/formation.py
+++ b/rooklug/core/formation.py
@@ -7,7 +7,12 @@
 """
 
 from rooklug.core import witness_rules
-from rooklug.core.constants import MESSAGE_DEADLINE_S, READ_WITNESS_INTERVAL_S
+from rooklug.core.constants import (
+    GROUP_START_REPORT_VALID_S,
+    MESSAGE_DEADLINE_S,
+    READ_WITNESS_INTERVAL_S,
+)
+from rooklug.core.follower import NEVER
 from rooklug.core.outbox import Outbox
 from rooklug.core.peers import Peers
 from rooklug.core.records import disk_to_wire, witness_from_wire
@@ -44,6 +49,7 @@
         self._witness = witness
         self._read_at = 0.0
         self._attempt = 0
+        self._group_start_reported_at = NEVER
         self._states: dict[str, WitnessState] = {}
         self.waiting_reason = WAITING
 
@@ -59,6 +65,14 @@
         attempt = self._attempt
         self._witness.save(self._witness.state, now, lambda now: self._read(own, attempt, now))
 
+    def record_group_start(self, now: float) -> None:
+        """Record the report of a node that was started with the group and has seen no primary.
+
+        If all founders were killed before their first write, only such nodes know that this is the
+        first start and that nothing can have been stored yet.
+        """
+        self._group_start_reported_at = now
+
     def is_member(self) -> bool:
         """Return whether the newest view read so far has this core as a voting member."""
         return self._peers.own_id in self._peers.members_of(self._newest_view())
@@ -118,13 +132,16 @@
         is_interrupted = any(state.voting for state in states)
         if newest is not None:
             self._wait(DATA_LOSS_SUSPECTED)
-        elif not (self._first_start or is_interrupted):
+        elif not (self._first_start or is_interrupted or self._is_group_starting(now)):
             self._wait(NO_FIRST_START)
         else:
             founder = witness_rules.become_founder(self._witness.state, founders, states)
             if founder is not None:
                 self._obtain_vote(founder, now)
 
+    def _is_group_starting(self, now: float) -> bool:
+        return now < self._group_start_reported_at + GROUP_START_REPORT_VALID_S
+
     def _founders(self) -> tuple[CoreMember, ...]:
         """Return the founders that a witness has recorded, else those of the settings.
 
--- a/rooklug/distribution/lease_renewal.py
+++ b/rooklug/distribution/lease_renewal.py
@@ -22,6 +22,7 @@
 from rooklug.model.constants import NODE_LEASE_RENEWAL_S, ROLE_LEASE_S
 from rooklug.model.internal_events import GrantsChanged
 from rooklug.model.topics import CONFIGURATION
+from rooklug.model.versions import ZERO_VERSION
 from rooklug.wire.generated.control.ttypes import NodeRecord, RenewLeaseAnswer
 
 _FULL_ROLE_LEASE_MS = int(ROLE_LEASE_S * 1000)
@@ -69,9 +70,16 @@
         request = self.state.lease.next_request(
             self.node_record(), now, releases=self.state.stopping
         )
+        request.group_is_starting = self._is_group_starting() or None
         self._sent, call = self.state.call(request, RENEWAL_DEADLINE_S, now)
         return [call]
 
+    def _is_group_starting(self) -> bool:
+        """Return whether this node was started with the group and has heard of no primary since."""
+        knows_no_primary = not self.state.lease.epoch
+        knows_no_topic = self.state.topics.version(CONFIGURATION) == ZERO_VERSION
+        return self.state.settings.started_with_group and knows_no_primary and knows_no_topic
+
     def switch_core(self) -> list[fx.Effect]:
         """Renew soon at the core that polling has moved to, unless a renewal is in flight."""
         if self._sent is not None or self.state.stopping:
--- a/rooklug/membership/lease_service.py
+++ b/rooklug/membership/lease_service.py
@@ -4,10 +4,12 @@
 
 from rooklug.engine import effects as fx
 from rooklug.engine import events as ev
+from rooklug.engine.component import EmitEvent
 from rooklug.membership.leases import RenewalOutcome, identity_of
 from rooklug.membership.membership_state import MembershipState
 from rooklug.membership.timing import MEMBERS_BATCH_S, TICK_S
 from rooklug.model.constants import NODE_LEASE_S
+from rooklug.model.internal_events import GroupStartReported
 from rooklug.wire.generated.control.ttypes import RenewLeaseRequest
 
 PUBLISH_MEMBERS_TIMER = "publish-members"
@@ -26,7 +28,10 @@
         """Answer a renewal with the complete set of role grants of the node."""
         state, request = self.state, event.request
         if not state.is_active_primary(now):
-            return [fx.Answer(event.call_id, state.renewal_rejection(now))]
+            return [
+                fx.Answer(event.call_id, state.renewal_rejection(now)),
+                *_group_start_report(request),
+            ]
         if request.leaving:
             return self._leave(event.call_id, request, now)
         outcome = state.leases.renew(request, now)
@@ -99,3 +104,10 @@
             state.store, state.leases, state.roles, pending_polls, now
         )
         return state.wake(now) if published else []
+
+
+def _group_start_report(request: RenewLeaseRequest) -> list[fx.Effect]:
+    """Return the report that the group is at its first start, if the request states it."""
+    if not request.group_is_starting:
+        return []
+    return [EmitEvent(GroupStartReported(request.node.node_id))]
--- a/rooklug/model/internal_events.py
+++ b/rooklug/model/internal_events.py
@@ -21,6 +21,13 @@
     epoch: int
 
 
+@attrs.frozen
+class GroupStartReported(InternalEvent):
+    """A node that was started with the group has not been answered by any primary yet."""
+
+    node_id: str
+
+
 @attrs.frozen
 class PrimaryLeaseExtended(InternalEvent):
     """The primary's lease is valid until monotonic time ``until``, in seconds of this process."""
--- a/rooklug/model/settings.py
+++ b/rooklug/model/settings.py
@@ -12,7 +12,8 @@
     The process binds to ``listen_internal`` and ``listen_http``. Others reach it at
     ``internal_address`` and ``http_address``, which differ from these only behind a relay.
     ``bind_ip`` is the source IP of outgoing connections. ``seeds`` are internal addresses of cores,
-    from which the node finds the primary.
+    from which the node finds the primary. ``started_with_group`` says that the deployment states
+    that this process was started at the group's first start.
     """
 
     node_id: str
@@ -28,6 +29,7 @@
     data_folder: str = ""
     log_level: str = "info"
     platform_address: str = ""
+    started_with_group: bool = False
 
 
 @attrs.frozen
--- a/rooklug_lab/gateway/site.py
+++ b/rooklug_lab/gateway/site.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable, Iterable
 from random import Random
 
+import attrs
+
 from rooklug.gateway.build import GatewayLimits, compose_gateway_core, compose_gateway_front
 from rooklug.gateway.replica_rate_limiter import SlowStartBound
 from rooklug.model.settings import CoreSettings, NodeSettings
@@ -356,7 +358,8 @@
         node = _node(name, "front", zone, region, ip, "8000", seeds)
 
         def build(context):
-            return compose_gateway_front(node, context, client_protocol(), self._limits)
+            present = attrs.evolve(node, started_with_group=self._first_start)
+            return compose_gateway_front(present, context, client_protocol(), self._limits)
 
         http = self.world.http
         process = self.world.add(
--- a/tests/test_core_formation.py
+++ b/tests/test_core_formation.py
@@ -12,6 +12,7 @@
 from rooklug.core import quorum, witness_rules
 from rooklug.core.constants import LEASE_GUARD_S
 from rooklug.core.formation import NO_FIRST_START
+from rooklug.model.internal_events import GroupStartReported
 from rooklug.storage.first_start import MARK_FILE, record_first_start, recorded_founders
 from tests import core_formation_exploration as model
 from tests.core_cluster import CORE_IDS, Cluster
@@ -275,6 +276,50 @@
             self.assertEqual(self.note(core_id), NO_FIRST_START)
         self.assertIn("recover-cores", NO_FIRST_START)
 
+    def report_group_start(self, core_id: str) -> None:
+        core = self.cluster.cores[core_id]
+        event = GroupStartReported("front-1")
+        for effect in core.component.handle(event, self.cluster.now):
+            self.cluster._execute(core, effect)
+
+    def test_a_node_that_has_seen_no_primary_since_the_first_start_lets_blank_disks_form(self):
+        # All cores were killed before they had run their first line: no disk tells of the start.
+        self.begin()
+        for core_id in CORE_IDS:
+            self.cluster.kill_before_record(core_id)
+        self.cluster.start_all()
+        self.assertFalse(self.cluster.run(1.0, self.has_primary))
+        self.report_group_start("core-b")
+        self.assert_forms()
+
+    def test_such_a_report_does_not_replace_the_answer_of_a_founder(self):
+        self.begin()
+        for core_id in CORE_IDS:
+            self.cluster.kill_before_record(core_id)
+        self.cluster.start("core-a")
+        self.cluster.start("core-b")
+        for _ in range(20):
+            self.cluster.run(self.cluster.now + 0.5)
+            self.report_group_start("core-a")
+            self.report_group_start("core-b")
+        self.assertFalse(self.has_primary())
+        self.assertIn("no answer from core-c", self.note("core-a"))
+
+    def test_such_a_report_does_not_outweigh_a_view(self):
+        self.begin()
+        self.cluster.start_all()
+        self.assert_forms()
+        for core_id in CORE_IDS:
+            self.cluster.crash(core_id)
+        for core_id in CORE_IDS[1:]:
+            self.cluster.lose_disk(core_id)
+        self.cluster.start_all()
+        for _ in range(20):
+            self.cluster.run(self.cluster.now + 0.5)
+            for core_id in CORE_IDS:
+                self.report_group_start(core_id)
+        self.assertFalse(self.has_primary())
+
     def test_all_disks_lost_after_service_form_nothing(self):
         self.begin()
         self.cluster.start_all()
--- a/tests/test_distribution_core_link.py
+++ b/tests/test_distribution_core_link.py
@@ -4,6 +4,8 @@
 from random import Random
 from typing import Any
 
+import attrs
+
 from rooklug.config.json_text import canonical_bytes
 from rooklug.config.patching import digest
 from rooklug.distribution.core_finder import CoreFinder
@@ -291,3 +293,35 @@
     def test_backoff_differs_between_nodes(self) -> None:
         backoffs = {CoreFinder(SEEDS, Random(seed)).record_failure(SEEDS[0]) for seed in range(20)}
         self.assertEqual(len(backoffs), 20)
+
+
+class GroupStart(CoreLinkTestCase):
+    """A node reports the group's first start only as long as it has heard of no primary."""
+
+    def link_of(self, *, started_with_group: bool) -> CoreLink:
+        settings = attrs.evolve(
+            node_settings("front-1", "front", "z1", SEEDS), started_with_group=started_with_group
+        )
+        link = CoreLink(settings, ProcessContext("front-1", "i1", Random(1), Identifiers()))
+        link.handle(ev.Started(), 0.0)
+        return link
+
+    def test_a_node_of_the_first_start_reports_it_until_a_primary_answers(self) -> None:
+        self.link = self.link_of(started_with_group=True)
+        call = self.renew(1.0)
+        self.assertTrue(call.request.group_is_starting)
+        rejected = ttypes.RenewLeaseAnswer(False, 0, [], 0, "", [])
+        self.answer(call, rejected, 1.1)
+        call = self.renew(2.0)
+        self.assertTrue(call.request.group_is_starting)
+        self.grant(call, 2.1)
+        self.assertIsNone(self.renew(3.0).request.group_is_starting)
+
+    def test_a_node_with_a_configuration_reports_nothing(self) -> None:
+        self.link = self.link_of(started_with_group=True)
+        self.updates(self.poll(1.0), 1.1, configuration(1, b"{}"))
+        self.assertIsNone(self.renew(1.2).request.group_is_starting)
+
+    def test_a_node_that_was_started_later_reports_nothing(self) -> None:
+        self.link = self.link_of(started_with_group=False)
+        self.assertIsNone(self.renew(1.0).request.group_is_starting)
--- a/tests/test_gateway_site.py
+++ b/tests/test_gateway_site.py
@@ -100,6 +100,26 @@
         self.assertEqual(repr(first), repr(second))
 
 
+class FirstStart(unittest.TestCase):
+    def test_cores_killed_before_their_first_line_serve_once_they_are_back(self) -> None:
+        # No disk tells of the first start then; only the fronts know of it (review/2).
+        site = GatewaySite(6)
+        for name in site.fronts:
+            site.process(name).start()
+        for process in site.world.processes.values():
+            if process.name not in (*site.fronts, *site.cores):
+                process.start()
+        site.world.run_for(0.4)
+        site._first_start = False
+        for name in site.cores:
+            site.process(name).start()
+        site.world.run_for(SOON_S + 0.5)
+        self.assertTrue(site.primary())
+        order = site.change(["s", "once"])
+        site.world.run_for(3.0)
+        self.assertTrue(order.acknowledged_at)
+
+
 class KnowingTheMembers(unittest.TestCase):
     """Starting fronts know their peers before the first lease could have expired."""
 
