--- a/rooklug/gateway/build.py
+++ b/rooklug/gateway/build.py
@@ -79,6 +79,7 @@
         protocol.headers,
         limits,
     )
+    executor.decision.holds_lease = core_link.has_valid_lease
     lifecycle = Lifecycle(core_link, executor.active, limits.grace_s)
     return CompositeReducer(
         [
--- a/rooklug/gateway/decision.py
+++ b/rooklug/gateway/decision.py
@@ -7,6 +7,7 @@
 replica within it (``replica_cost``).
 """
 
+from collections.abc import Callable
 from random import Random
 
 import attrs
@@ -56,6 +57,8 @@
         random: Samples candidates and breaks ties.
         traffic: This front's observations of the replicas.
         view: The latest snapshot of configuration, replicas, fronts and plan.
+        holds_lease: Whether this front's lease is valid at a monotonic time. The other fronts may
+            have divided its share among them as soon as it is not.
     """
 
     region: str
@@ -63,6 +66,7 @@
     random: Random
     traffic: TrafficRecord
     view: GatewayView = attrs.field(factory=GatewayView)
+    holds_lease: Callable[[float], bool] = lambda now: True
 
     def apply_view(self, view: GatewayView) -> None:
         """Replace the snapshot and drop the traffic records of replicas that it doesn't list."""
@@ -241,7 +245,10 @@
             limiter = self.traffic.slow_start_limiter
             if not limiter.may_send(replica.replica_id, rate_per_s, senders, now):
                 return Allowance.NONE
-        return self.traffic.rate_limiter.allowance(replica.replica_id, rate_per_s, share, now)
+        allowance = self.traffic.rate_limiter.allowance(replica.replica_id, rate_per_s, share, now)
+        if allowance is Allowance.SPARE and not self.holds_lease(now):
+            return Allowance.NONE
+        return allowance
 
 
 def _shared_prefix(request: InboundRequest) -> tuple[PrefixBlock, ...]:
--- a/rooklug/gateway/replica_rate_limiter.py
+++ b/rooklug/gateway/replica_rate_limiter.py
@@ -4,7 +4,8 @@
 a replica in slow start holds from its first moment. Replicas of a service with a slow-start rate
 are therefore rate-limited even while they are warm. Fronts don't coordinate: each has a share of
 the bound. A front sends freely up to its share. Beyond its share it prefers other replicas; only
-when all of them are at their shares does it continue, up to a limit that it never exceeds.
+when all of them are at their shares does it continue, up to a limit that it never exceeds. A front
+whose lease has lapsed doesn't exceed its share: others may have taken its place since.
 """
 
 import math
@@ -74,14 +75,15 @@
 
 
 SHARES = {
-    SenderRole.OWN_REGION: RateShare(share=0.8, limit=1.0, min_share_count=1, min_limit_count=2),
+    SenderRole.OWN_REGION: RateShare(share=0.8, limit=0.9, min_share_count=1, min_limit_count=2),
     SenderRole.OTHER_REGION: RateShare(share=0.2, limit=0.5, min_share_count=1, min_limit_count=2),
     SenderRole.STANDBY: RateShare(share=0.0, limit=0.0, min_share_count=1, min_limit_count=2),
     SenderRole.NONE: RateShare(share=0.0, limit=0.0, min_share_count=1, min_limit_count=1),
 }
-"""With many fronts the minimum counts add up to more than the bound; the bound is then exceeded
-only if all fronts choose the same replica within one second. A front without a share may still
-receive a client's request, so it may send one per second."""
+"""The limits of a region's serving fronts leave a tenth of the bound to a standby front that
+clients still use. With many fronts the minimum counts add up to more than the bound; the bound is
+then exceeded only if all fronts choose the same replica within one second. A front without a share
+may still receive a client's request, so it may send one per second."""
 
 
 def allowed_counts(bound: float, share: SendShare) -> AllowedCounts:
--- a/tests/test_gateway_rate_limiter.py
+++ b/tests/test_gateway_rate_limiter.py
@@ -12,7 +12,12 @@
 )
 from rooklug.gateway.serving_fronts import serving_fronts
 from rooklug.gateway.view import GatewayView
-from rooklug.routing.send_shares import NO_SHARE, SenderRole, SendShare
+from rooklug.routing.send_shares import (
+    NO_SHARE,
+    STANDBY_SHARE,
+    SenderRole,
+    SendShare,
+)
 from tests.gateway_support import NAMES, GatewayFront, front, replica, route_item
 from tests.test_gateway_limits import busiest_second
 
@@ -41,6 +46,14 @@
                             total += allowed_counts(bound, share).share
                     self.assertLessEqual(total, bound)
 
+    def test_the_limits_of_a_region_and_a_standby_front_stay_within_the_bound(self):
+        # Two serving fronts at 10 requests and a standby front at 2 sent 21 to a cold replica that
+        # may get 20, while all three were cut off from the cores.
+        standby = allowed_counts(20.0, STANDBY_SHARE).limit
+        for count in (2, 3, 4):
+            serving = allowed_counts(20.0, SendShare(SenderRole.OWN_REGION, count)).limit
+            self.assertLessEqual(serving * count + standby, 20.0)
+
     def test_a_front_stays_within_its_limit_in_every_second(self):
         limiter, share, times = ReplicaRateLimiter(BOUND), SendShare(SenderRole.OWN_REGION, 3), []
         for step in range(600):
@@ -69,6 +82,21 @@
         self.assertEqual(limiter._sent_at, {})
 
 
+class WithoutLease(unittest.TestCase):
+    def test_a_front_whose_lease_has_lapsed_does_not_exceed_its_share(self):
+        gateway = GatewayFront([ROUTE], [replica(1, "model")])
+        share = gateway.view.send_shares.share_at("north", "front-1")
+        bound = gateway.decision.traffic.rate_limiter.bound.requests(10.0)
+        allowed = allowed_counts(bound, share)
+        for holds_lease, expected in ((True, allowed.limit), (False, allowed.share)):
+            gateway.decision.holds_lease = lambda now, holds=holds_lease: holds
+            gateway.now += 5.0
+            sent = 0
+            while isinstance(gateway.request("/s/1")[0], fx.HttpCall):
+                sent += 1
+            self.assertEqual(sent, expected)
+
+
 class Overflow(unittest.TestCase):
     def send(self, gateway: GatewayFront) -> fx.Effect:
         (effect,) = gateway.request("/s/1", headers={NAMES.prompt_parts: "aa:10,bb:10"})
