A branch-and-bound solve of the planner is bounded by work, not by the clock

Cause: the limit of a solve was given to HiGHS as wall-clock time.

Change: the limit is translated into branch-and-bound nodes (300 a second of it); a time limit of eight times the old one remains as a guard. If it strikes, the plan has a note, the placer logs it and counts it (rooklug_placer_solves_ended_by_time_total).

Evidence: tests/test_placement_planner.py: a solve that its work limit ends gives the same plan with any guard, and a solve ended by the guard says so.

--- a/rooklug/controller/placer.py
+++ b/rooklug/controller/placer.py
@@ -168,6 +168,12 @@
                 "duration of the last solve",
             ),
             ("solves_failed_total", term.solving.failed_solves, "counter", "solves that failed"),
+            (
+                "solves_ended_by_time_total",
+                term.solving.solves_ended_by_time,
+                "counter",
+                "solves that the time guard ended",
+            ),
             ("publications_total", term.publisher.publications, "counter", "plans published"),
             ("orders_total", term.dispatcher.sent, "counter", "orders sent, with repeats"),
             ("orders_repeated_total", term.dispatcher.retried, "counter", "orders sent again"),
--- a/rooklug/controller/solving.py
+++ b/rooklug/controller/solving.py
@@ -10,6 +10,7 @@
 from rooklug.engine import effects as fx
 from rooklug.engine import events as ev
 from rooklug.engine.reducer import Identifiers
+from rooklug.placement.planner import ENDED_BY_TIME
 from rooklug.placement.problem import DemandKey, PlacementPlan, PlacementProblem
 
 Solve = Callable[[PlacementProblem], PlacementPlan]
@@ -49,6 +50,7 @@
         self.cause = ""
         self.solves = 0
         self.failed_solves = 0
+        self.solves_ended_by_time = 0
         self.last_solve_s = 0.0
 
     @property
@@ -112,6 +114,10 @@
                 )
             )
             plan = spread(self._problem)
+        elif ENDED_BY_TIME in plan.notes:
+            self.solves_ended_by_time += 1
+            fields = {"duration_s": self.last_solve_s, "gap": plan.gap}
+            effects.append(fx.Log("warning", "time guard ended a solve", fields))
         record_plan_changes(self._decisions, self.plan, plan, self._cause_in_progress)
         self.plan = plan
         self.cause = self._cause_in_progress
--- a/rooklug/placement/linear.py
+++ b/rooklug/placement/linear.py
@@ -1,7 +1,8 @@
 """A small builder for mixed-integer programs, solved by HiGHS (highspy).
 
-highspy and numpy are imported only when a program is solved. The solver is single-threaded and
-bounded in time, so a solve never uses more than one core.
+highspy and numpy are imported only when a program is solved. The solver is single-threaded, so a
+solve never uses more than one core. It is bounded by work, so that its result doesn't depend on how
+much processor time it gets; a time limit far above that only guards against a solve without end.
 """
 
 from math import inf
@@ -10,15 +11,25 @@
 import attrs
 
 RELATIVE_GAP = 0.002
+NODES_PER_S = 300
+"""Branch-and-bound nodes of a solve, per second of its limit; a core of its own does over twice as
+many in that time."""
+TIME_GUARD_FACTOR = 8.0
+"""A solve is ended after this many times its limit."""
 
 
 @attrs.frozen
 class LinearSolution:
-    """Column values, objective and proven relative gap of a solution."""
+    """Column values, objective and proven relative gap of a solution.
+
+    ``ended_by_time`` says that the time guard ended the solve, so that another solve of the same
+    model may have another result.
+    """
 
     values: list[float]
     objective: float
     gap: float
+    ended_by_time: bool = False
 
 
 @attrs.define
@@ -81,7 +92,7 @@
 
 
 def minimise(model: LinearModel, limit_s: float) -> LinearSolution | None:
-    """Solve ``model`` within ``limit_s``; return None if no feasible point was found in time.
+    """Solve ``model`` with the work of ``limit_s``; None if that found no feasible point.
 
     No known solution is passed as a start: with one, HiGHS 1.16 sometimes returns the values of
     the start together with the objective of a better optimum that it found.
@@ -90,7 +101,8 @@
     import numpy
 
     solver = _new_solver(highspy)
-    solver.setOptionValue("time_limit", max(0.01, limit_s))
+    solver.setOptionValue("mip_max_nodes", max(1, int(limit_s * NODES_PER_S)))
+    solver.setOptionValue("time_limit", max(0.01, limit_s * TIME_GUARD_FACTOR))
     solver.setOptionValue("mip_rel_gap", RELATIVE_GAP)
     if solver.passModel(_to_highs(model, highspy, numpy)) == highspy.HighsStatus.kError:
         return None
@@ -100,7 +112,8 @@
         return None
     gap = min(1.0, float(info.mip_gap)) if model.integers else 0.0
     values = list(solver.getSolution().col_value)
-    return LinearSolution(values, float(info.objective_function_value), gap)
+    ended_by_time = solver.getModelStatus() == highspy.HighsModelStatus.kTimeLimit
+    return LinearSolution(values, float(info.objective_function_value), gap, ended_by_time)
 
 
 class Relaxation:
--- a/rooklug/placement/planner.py
+++ b/rooklug/placement/planner.py
@@ -24,6 +24,7 @@
 
 NO_SOLVER = "the integer solver isn't installed"
 SOLVER_TIMED_OUT = "the integer solver found nothing in time"
+ENDED_BY_TIME = "the time guard ended the solve; another one may have another result"
 GREEDY_BETTER = "the greedy plan was better than what the solver found in time"
 
 
@@ -80,7 +81,8 @@
     flows = program.route(counts, problem.solve_limit_s * ROUTE_SHARE)
     if flows is None:
         return None, left_out
-    plan = assemble(problem, assignments, flows, SOLVER_NAME)
+    notes = (ENDED_BY_TIME,) if answer.ended_by_time else ()
+    plan = assemble(problem, assignments, flows, SOLVER_NAME, notes=notes)
     bound = answer.objective * (1.0 - answer.gap)
     return attrs.evolve(plan, gap=_gap(plan.objective, bound)), left_out
 
--- a/rooklug/placement/program.py
+++ b/rooklug/placement/program.py
@@ -44,12 +44,16 @@
 
 @attrs.frozen
 class ProgramAnswer:
-    """A solution of the program: replica counts by candidate, traffic, and proven relative gap."""
+    """A solution of the program: replica counts by candidate, traffic, and proven relative gap.
+
+    ``ended_by_time`` says that the solver's time guard ended the solve.
+    """
 
     counts: dict[Candidate, int]
     flows: list[Flow]
     gap: float
     objective: float
+    ended_by_time: bool = False
 
 
 class PlacementProgram:
@@ -76,7 +80,10 @@
         self._build()
 
     def solve(self, limit_s: float) -> ProgramAnswer | None:
-        """Return the best answer found within ``limit_s``, or None if there is none."""
+        """Return the best answer found with the work of ``limit_s``, or None if there is none.
+
+        Above ``BRANCHING_LIMIT`` replica columns ``limit_s`` is time instead of work.
+        """
         if len(self.replicas) > BRANCHING_LIMIT:
             return self._dive(limit_s)
         return self._read(minimise(self.model, limit_s))
@@ -104,7 +111,9 @@
             candidate: round(solution.values[column]) for candidate, column in self.replicas.items()
         }
         flows = self._read_flows(solution.values)
-        return ProgramAnswer(counts, flows, solution.gap, solution.objective)
+        return ProgramAnswer(
+            counts, flows, solution.gap, solution.objective, solution.ended_by_time
+        )
 
     def _rank_of_columns(self) -> dict[int, float]:
         return {column: self._ranks[candidate.model] for candidate, column in self.replicas.items()}
--- a/tests/test_placement_planner.py
+++ b/tests/test_placement_planner.py
@@ -7,7 +7,7 @@
 import attrs
 
 from rooklug.config.document import Model, Readiness, RegionWeights, ResourceNeed, RoundTrip
-from rooklug.placement import planner
+from rooklug.placement import linear, planner
 from rooklug.placement.cases import large_case, random_case, tiny_case, with_nothing_loaded
 from rooklug.placement.exhaustive import best_objective
 from rooklug.placement.greedy import plan_greedily
@@ -132,6 +132,20 @@
     def test_equal_problems_get_equal_plans(self) -> None:
         self.assertEqual(solve(random_case(3)), solve(random_case(3)))
 
+    def test_a_plan_does_not_depend_on_the_processor_time_that_its_solve_gets(self) -> None:
+        # A solve that got little of a busy processor stopped at its limit of one second with
+        # another plan; the work limit ends it at the same point however long that takes.
+        problem = random_case(4, limit_s=0.4)
+        plan = solve(problem)
+        self.assertGreater(plan.gap, linear.RELATIVE_GAP)
+        with mock.patch.object(linear, "TIME_GUARD_FACTOR", 100.0):
+            self.assertEqual(solve(problem), plan)
+
+    def test_a_solve_that_the_time_guard_ends_says_so(self) -> None:
+        self.assertNotIn(planner.ENDED_BY_TIME, solve(random_case(4)).notes)
+        with mock.patch.object(linear, "TIME_GUARD_FACTOR", 0.2):
+            self.assertIn(planner.ENDED_BY_TIME, solve(random_case(4, limit_s=1.5)).notes)
+
 
 class PlanPropertiesTest(unittest.TestCase):
     """Properties of every plan, on random problems, for both solvers."""
