rooklug-lab soak: real processes under overlapping seeded events, judged by the users' rules

Starts the programs by the deploy file's run lines on loopback addresses, with stand-ins for clients, replicas, operators and the platform; the plan (kills before, during and after the first view, signals, freezes, rolling stops, a lost disk, drained zones, racing and hostile configurations, unusable list entries, hostile clients, misbehaving replicas) comes from the seed. Clients keep their connections until the process is gone; then everything is stopped under load, and started again from its disks. Eleven oracles judge what the stand-ins saw; each is shown to speak.

--- a/rooklug_lab/cli.py
+++ b/rooklug_lab/cli.py
@@ -8,6 +8,7 @@
 from rooklug_lab.hollow.command import add_hollow_commands
 from rooklug_lab.lag import add_lag_command
 from rooklug_lab.policy.command import add_policy_command
+from rooklug_lab.soak.command import add_soak_command
 
 _EXAMPLES = """examples:
   rooklug-lab list
@@ -17,6 +18,7 @@
   rooklug-lab lag --routes 500 --changes 20
   rooklug-lab sim all --seeds 1-5
   rooklug-lab gateway all --seeds 1-5
+  rooklug-lab soak --seed 1 --seconds 60 --machines 3
   rooklug-lab policy compare --set serving_fronts.SERVING_SHARE=0.1 --seeds 1-4
 """
 
@@ -41,6 +43,7 @@
     add_lag_command(commands)
     add_gateway_command(commands)
     add_policy_command(commands)
+    add_soak_command(commands)
     commands.add_parser("sim", help="the simulator (rooklug-lab sim --help)")
     return parser
 
