--- a/rooklug_lab/gateway/scenarios.py
+++ b/rooklug_lab/gateway/scenarios.py
@@ -112,7 +112,7 @@
     """A drained zone is restored during a burst, 0.05 s after its replicas became cold."""
     zone = "south-a"
     site.order_zone(zone, "empty")
-    site.later(5.0, lambda: site.set_rate("south", 4.0))
+    site.later(5.0, lambda: site.set_rate("south", 6.0))
     cold_at_s = random.uniform(7.0, 9.0)
     site.later(cold_at_s, lambda: site.turn_cold(zone))
     site.later(cold_at_s + 0.05, lambda: site.order_zone(zone, "restore"))
