--- a/rooklug_lab/soak/director.py
+++ b/rooklug_lab/soak/director.py
@@ -32,18 +32,27 @@
     seed: int
     seconds: float
     machines: int
-    folder: Path
 
 
 class Soak:
-    """One soak: start, events with traffic, a quiet time, a stop under load, and a restart."""
-
-    def __init__(self, settings: SoakSettings, ledger: Ledger) -> None:
+    """One soak: start, events with traffic, a quiet time, a stop under load, and a restart.
+
+    Without a ``plan`` the seed draws it.
+    """
+
+    def __init__(
+        self,
+        settings: SoakSettings,
+        ledger: Ledger,
+        folder: Path,
+        plan: list[Event] | None = None,
+    ) -> None:
         self._settings = settings
         self._ledger = ledger
         self._random = Random(settings.seed)
-        self.plan = draw_plan(settings.seed, settings.seconds, CORES)
-        self.site = Site(settings.machines, ledger, settings.folder, Random(settings.seed + 1))
+        drawn = draw_plan(settings.seed, settings.seconds, CORES)
+        self.plan = drawn if plan is None else plan
+        self.site = Site(settings.machines, ledger, folder, Random(settings.seed + 1))
         zones = list(ZONES)
         self._replicas = [
             Replica(number, self.site.replica_address(number), zones[number % 3], ledger)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,8 @@
 import attrs
 
 from rooklug_lab.soak.clients import problem_of
-from rooklug_lab.soak.command import soak
+from rooklug_lab.soak.command import read_report, soak, write_report
+from rooklug_lab.soak.director import SoakSettings
 from rooklug_lab.soak.http import Message
 from rooklug_lab.soak.ledger import Change, Ledger, ProcessEnd, Request, Run
 from rooklug_lab.soak.oracles import ORACLES, RECOVERY_S, judge
@@ -137,7 +138,11 @@
 class ShortRun(unittest.TestCase):
     def test_a_short_seeded_soak_holds(self):
         with tempfile.TemporaryDirectory() as folder:
-            result = soak(SEED, EVENT_SECONDS, 3, Path(folder))
+            settings = SoakSettings(SEED, EVENT_SECONDS, 3)
+            result = soak(settings, Path(folder))
+            report = Path(folder) / "report.json"
+            write_report(report, result, Path(folder))
+            self.assertEqual(read_report(report), (settings, result.plan))
         self.assertEqual(result.broken, {})
         self.assertGreater(len(result.ledger.runs), 100)
 
