--- a/rooklug_lab/soak/command.py
+++ b/rooklug_lab/soak/command.py
@@ -99,7 +99,8 @@
     verdict = f"BROKEN {', '.join(result.broken)}" if result.broken else "held"
     return (
         f"seed {settings.seed}, {settings.machines} machines: {verdict}; "
-        f"{len(result.plan)} events, {len(ledger.requests)} requests, {served} served, {len(ledger.runs)} runs, "
+        f"{len(result.plan)} events, {len(ledger.requests)} requests, "
+        f"{served} served, {len(ledger.runs)} runs, "
         f"{acknowledged} changes acknowledged, {len(ledger.ends)} ends of processes"
     )
 
