gateway simulator: fronts that miss an evacuation's start, its end, or both

Scenario fronts_miss_an_evacuation: fronts cut off from the cores over the drain of a zone, its cold return, or both, at four times the load.

--- a/rooklug_lab/gateway/scenarios.py
+++ b/rooklug_lab/gateway/scenarios.py
@@ -174,6 +174,29 @@
             site.later(begin_s, action)
 
 
+def fronts_miss_an_evacuation(site: GatewaySite, random: Random) -> None:
+    """Fronts are cut off from the cores while a zone is drained, or restored cold, under load."""
+    zone = random.choice(list(site.shape.zones))
+    region = site.shape.zones[zone]
+    fronts = [name for name in site.fronts if site.process(name).place.region == region]
+    for place in site.shape.regions:
+        site.set_rate(place, 4.0)
+        site.later(15.0, lambda region=place: site.set_rate(region, 1.0))
+    emptied_at_s, restored_at_s = 2.0, random.uniform(7.0, 10.0)
+    begin_s, end_s = random.choice(
+        [
+            (emptied_at_s - 1.3, emptied_at_s + 3.0),
+            (restored_at_s - 2.5, restored_at_s + random.uniform(-0.3, 1.0)),
+            (emptied_at_s - 1.3, restored_at_s + random.uniform(-0.5, 0.6)),
+        ]
+    )
+    cut = random.sample(fronts, random.randint(1, len(fronts)))
+    site.later(begin_s, lambda: site.partition(cut, site.cores, end_s - begin_s))
+    site.later(emptied_at_s, lambda: site.order_zone(zone, "empty"))
+    site.later(restored_at_s - 0.05, lambda: site.turn_cold(zone))
+    site.later(restored_at_s, lambda: site.order_zone(zone, "restore"))
+
+
 def rejections_come_twice(site: GatewaySite, random: Random) -> None:
     """Replicas send rejections a second time, late, in the place of the next answer."""
     site.change(["again"])
@@ -200,6 +223,7 @@
         control_falls_apart,
         replicas_lie,
         rejections_come_twice,
+        fronts_miss_an_evacuation,
         random_day,
         *LARGE_DAYS,
     )
--- a/tests/test_gateway_site.py
+++ b/tests/test_gateway_site.py
@@ -85,6 +85,9 @@
     def test_rejections_come_twice(self) -> None:
         self.check("rejections_come_twice")
 
+    def test_fronts_miss_an_evacuation(self) -> None:
+        self.check("fronts_miss_an_evacuation")
+
     def test_random_day(self) -> None:
         self.check("random_day")
 
