The status says what helps where all disks are blank; a stopped soak ends its processes

The text named the runbook recover-cores for cores that are all blank, which refuses a core without data. It now says what helps in either case.

A soak that gets SIGINT or SIGTERM ends all its processes and still writes its report; its oracles aren't asked (tests/test_soak.py).

--- a/rooklug/core/formation.py
+++ b/rooklug/core/formation.py
@@ -25,7 +25,8 @@
 JOINING = "asks the primary to make it a member"
 NO_FIRST_START = (
     "the disks of all cores are blank, and this is no first start: the data is missing, and "
-    "nothing is formed; start a core with its disk, or run the runbook recover-cores"
+    "nothing is formed; start a core that has its disk and run the runbook recover-cores, or, if "
+    "all disks are lost, start all cores with empty folders as a first start"
 )
 DATA_LOSS_SUSPECTED = (
     "two disks are blank beside one with data: this is no first start; "
--- a/rooklug_lab/soak/command.py
+++ b/rooklug_lab/soak/command.py
@@ -4,6 +4,7 @@
 import asyncio
 import json
 import shutil
+import signal
 import sys
 import tempfile
 from collections.abc import Callable
@@ -22,6 +23,8 @@
 MAX_MACHINES = 60
 """Two processes a machine and their memory stay within the limits of one computer."""
 SHOWN_PROBLEMS = 5
+INTERRUPTED = "interrupted"
+"""Stands among the violations of a soak that was stopped, whose oracles were not asked."""
 
 
 @attrs.frozen
@@ -78,8 +81,22 @@
     """Run one soak in ``folder`` and judge it; ``show`` gets a line for each occurrence."""
     ledger = Ledger(listener=show or ignore)
     play = Soak(settings, ledger, folder, plan)
-    asyncio.run(play.run())
-    return SoakResult(settings, judge(ledger), ledger, play.plan)
+    finished = asyncio.run(_run_until_stopped(play))
+    broken = judge(ledger) if finished else {INTERRUPTED: ["it was stopped before its end"]}
+    return SoakResult(settings, broken, ledger, play.plan)
+
+
+async def _run_until_stopped(play: Soak) -> bool:
+    """Run a soak; return False if SIGINT or SIGTERM stopped it. Its processes are ended then."""
+    running = asyncio.create_task(play.run())
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, running.cancel)
+    try:
+        await running
+    except asyncio.CancelledError:
+        return False
+    return True
 
 
 def print_line(text: str) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,9 @@
 """The soak: its plan repeats, each oracle speaks, and a short seeded run holds."""
 
 import json
+import signal
+import subprocess
+import sys
 import tempfile
 import unittest
 from pathlib import Path
@@ -17,6 +20,7 @@
 from rooklug_lab.soak.replicas import HEADERS, expected_body, stream_event
 from rooklug_lab.soak.site import outside
 
+ROOT = Path(__file__).resolve().parent.parent
 SEED = 7
 EVENT_SECONDS = 15.0
 PREFIX_FIELD = "path_prefix"
@@ -147,6 +151,32 @@
         self.assertGreater(len(result.ledger.runs), 100)
 
 
+class Interrupted(unittest.TestCase):
+    def test_a_stopped_soak_ends_its_processes_and_writes_the_report(self):
+        with tempfile.TemporaryDirectory() as folder:
+            report = Path(folder) / "report.json"
+            command = "from rooklug_lab.cli import main; import sys; sys.exit(main(sys.argv[1:]))"
+            arguments = ["soak", "--seed", "4", "--seconds", "60", "--report", str(report)]
+            with subprocess.Popen(
+                [sys.executable, "-c", command, *arguments], cwd=ROOT, stdout=subprocess.PIPE
+            ) as running:
+                running.stdout.readline()  # the first event was carried out
+                children = _children_of(running.pid)
+                running.send_signal(signal.SIGTERM)
+                output = running.stdout.read()
+            self.assertEqual(running.returncode, 1)
+            self.assertIn(b"interrupted", output)
+            self.assertTrue(json.loads(report.read_text())["plan"])
+        self.assertGreaterEqual(len(children), 4)
+        self.assertEqual([pid for pid in children if Path(f"/proc/{pid}").exists()], [])
+
+
+def _children_of(pid: int) -> list[int]:
+    """Return the ids of a process's children, of all its threads."""
+    tasks = Path(f"/proc/{pid}/task").glob("*/children")
+    return [int(child) for task in tasks for child in task.read_text().split()]
+
+
 class HostileDocuments(unittest.TestCase):
     def test_half_a_character_is_sent_as_its_escape(self):
         body = outside.configuration_body({"routes": [{"name": "\ud83d", "prefix": "/x/"}]})
