tests: the lapsed lease is tested where share and limit differ

With the fix taken out in a scratch copy the test passed: at the default bound of 15 the share and the limit of one of two fronts are both 6. At the site's bound of 20 they are 8 and 9, and it fails without the fix.

--- a/tests/test_gateway_rate_limiter.py
+++ b/tests/test_gateway_rate_limiter.py
@@ -86,8 +86,9 @@
     def test_a_front_whose_lease_has_lapsed_does_not_exceed_its_share(self):
         gateway = GatewayFront([ROUTE], [replica(1, "model")])
         share = gateway.view.send_shares.share_at("north", "front-1")
-        bound = gateway.decision.traffic.rate_limiter.bound.requests(10.0)
-        allowed = allowed_counts(bound, share)
+        gateway.decision.traffic.rate_limiter.bound = BOUND
+        allowed = allowed_counts(BOUND.requests(10.0), share)
+        self.assertLess(allowed.share, allowed.limit)
         for holds_lease, expected in ((True, allowed.limit), (False, allowed.share)):
             gateway.decision.holds_lease = lambda now, holds=holds_lease: holds
             gateway.now += 5.0
