A patch of a field called upsert or remove is checked against the document

The patch's own edit was taken for the document's field of that name, so that the check could raise and the operator got 503 for ever. The new test fails without the change (TypeError).

--- a/rooklug/gateway/patching.py
+++ b/rooklug/gateway/patching.py
@@ -69,11 +69,16 @@
         for field, items in value.items():
             if not _is_fitting(edit, items):
                 problems.append(Problem(f"$.{edit}.{field}", "must be a list of named items"))
-            elif not _can_be_edited(patch.get(field, base.get(field)), items):
+            elif not _can_be_edited(_edited(base, patch, field), items):
                 problems.append(Problem(f"$.{edit}.{field}", "the document has no such list"))
     return problems
 
 
+def _edited(base: dict[str, Any], patch: dict[str, Any], field: str) -> Any:
+    """Return the value that a patch edits: its own replacement of the field, or the document's."""
+    return patch[field] if field in patch and field not in _EDITS else base.get(field)
+
+
 def _is_fitting(edit: str, items: Any) -> bool:
     if edit == "remove":
         return isinstance(items, list) and all(isinstance(name, str) for name in items)
--- a/tests/test_document_input.py
+++ b/tests/test_document_input.py
@@ -89,6 +89,12 @@
             with self.subTest(str(patch)):
                 self.assert_rejected(check(json_text({"version": 2, **patch}), base))
 
+    def test_a_patch_of_a_field_with_an_edits_name_is_checked_against_the_document(self):
+        # The patch's own ``upsert`` was taken for the document's, and the check raised.
+        base = json_text({**BASE, "upsert": ["x"]})
+        patch = {"version": 2, "upsert": {"upsert": {"a": 1}}}
+        self.assert_rejected(check(json_text(patch), base))
+
     @given(hostile_input.changed(BASE, hostile_input.paths_of(BASE)))
     @example({**BASE, "routes": [{**route_item("a", "/a/"), "name": ["a"]}]})
     def test_any_document_is_accepted_or_has_problems(self, value):
