The strict check of an operator's body stands outside the event loop again

The reader makes sure that the body can be written as UTF-8 and that the versions are bounded; the primary checks the document as a computation.

The new tests fail on the commit before.

--- a/tests/test_operator_input.py
+++ b/tests/test_operator_input.py
@@ -2,10 +2,12 @@
 
 import json
 import unittest
+from unittest import mock
 
 from hypothesis import example, given
 from hypothesis import strategies as st
 
+from rooklug.config import json_text
 from rooklug.engine import effects as fx
 from rooklug.engine import events as ev
 from rooklug.gateway.operator_api import LISTENER, GatewayOperatorApi
@@ -67,6 +69,13 @@
                 self.assert_refused(sent(REPLACE, body, base))
         self.assertIsInstance(sent(REPLACE, body, str(2**53 - 1)), fx.Call)
 
+    def test_a_body_of_eight_megabytes_does_not_hold_the_core_up(self):
+        # Reading it strictly in the event loop took 2 to 3 s, longer than the primary's lease.
+        with mock.patch.object(json_text, "_parse_with_diagnosis") as strict:
+            for body in (b'{"version":1,"x":[' + b"1," * 1000 + b"NaN]}", b"[" * 8_000_000):
+                sent(REPLACE, body)
+        strict.assert_not_called()
+
     @given(
         st.sampled_from([REPLACE, PATCH]),
         st.binary(max_size=200)
--- a/tests/test_platform_list_input.py
+++ b/tests/test_platform_list_input.py
@@ -87,6 +87,8 @@
     def test_a_body_that_is_no_list_is_unreadable(self):
         for body in (b"", b"{}", b"[]", b"\xff", b"[" * 100_000, b'{"instances":{}}', b"nul"):
             self.assertIsNone(control.listing_reader({})(body))
+        large = json_text({"instances": [GOOD], "padding": "x" * control.MAX_LIST_PAGE_BYTES})
+        self.assertIsNone(control.listing_reader({})(large))
         for token in ([], 7, {"a": 1}, "\ud83d", "t" * 5000):
             self.assertIsNone(read([GOOD], token))
 
