--- a/rooklug/engine/effects.py
+++ b/rooklug/engine/effects.py
@@ -143,7 +143,8 @@
     ``not_after`` is the same as in ``Call``. ``echoed_header`` names, in lower case, a header of
     the request that the server repeats in its response; "" if it repeats none. A response with
     another value belongs to an earlier request: it is skipped, and the connection is not used
-    again.
+    again. A connection carries each value at most once; a call without one gets a connection of
+    its own.
     """
 
     call_id: int
@@ -159,15 +160,20 @@
     not_after: float | None = None
     echoed_header: str = ""
 
+    @property
+    def echoed_id(self) -> str:
+        """The value that the server repeats, "" if the call has none."""
+        return self.headers.get(self.echoed_header, "")
+
     def is_response_to_another(self, headers: dict[str, str]) -> bool:
         """Return whether a response with these headers belongs to another request."""
-        sent = self.headers.get(self.echoed_header)
-        return sent is not None and headers.get(self.echoed_header, sent) != sent
+        sent = self.echoed_id
+        return bool(sent) and headers.get(self.echoed_header, sent) != sent
 
     def is_identified_by(self, headers: dict[str, str]) -> bool:
-        """Return whether a response states that it belongs to this call, if it has to."""
-        sent = self.headers.get(self.echoed_header)
-        return sent is None or headers.get(self.echoed_header) == sent
+        """Return whether a response states that it belongs to this call."""
+        sent = self.echoed_id
+        return bool(sent) and headers.get(self.echoed_header) == sent
 
 
 @attrs.frozen
--- a/rooklug/front/once_only/backend.py
+++ b/rooklug/front/once_only/backend.py
@@ -36,6 +36,7 @@
         },
         connect_deadline_s=min(CONNECT_DEADLINE_S, remaining_s),
         not_after=head.deadline,
+        echoed_header=REQUEST_ID_HEADER,
     )
 
 
--- a/rooklug/runtime/http_client.py
+++ b/rooklug/runtime/http_client.py
@@ -164,7 +164,9 @@
 
     async def _attempt(self) -> None:
         effect = self.effect
-        stream = await self._client.pool.acquire(effect.address, effect.connect_deadline_s)
+        stream = await self._client.pool.acquire(
+            effect.address, effect.connect_deadline_s, effect.echoed_id
+        )
         self._stream = stream
         if self._is_too_late():
             self._client.pool.release(effect.address, stream)
--- a/rooklug/runtime/http_pool.py
+++ b/rooklug/runtime/http_pool.py
@@ -1,4 +1,9 @@
-"""Pool of idle keep-alive client connections, by address."""
+"""Pool of idle keep-alive client connections, by address.
+
+A server may send a response a second time, late, in the place where the next one is due. The id
+that it repeats tells requests apart, but not two sends of the same request. So a connection carries
+a request id at most once, and a call without an id gets a connection of its own.
+"""
 
 import asyncio
 import socket
@@ -17,6 +22,8 @@
 client from reusing a connection that the server is closing."""
 _SWEEP_INTERVAL_S = 2.0
 _MAX_IDLE_CONNECTIONS = 64
+MAX_REQUESTS_PER_CONNECTION = 1000
+"""Bounds what a connection keeps of the request ids that it has carried."""
 
 
 def keep_alive_s(keep_alive: str) -> float:
@@ -32,12 +39,30 @@
 
 
 class ClientStream(IOStream):
-    """A client connection with a check for reuse."""
+    """A client connection that knows which request ids it has carried."""
+
+    def __init__(self, connection: socket.socket) -> None:
+        super().__init__(connection)
+        # Hashes: an id may be as long as a head. A collision costs a new connection, no more.
+        self._carried: set[int] = set()
+
+    def carry(self, request_id: str) -> None:
+        """Note that a request with this id is sent on this connection; "" stands for no id."""
+        self._carried.add(hash(request_id))
+
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether a request with this id may have been sent on this connection."""
+        return hash(request_id) in self._carried
 
     def is_reusable(self) -> bool:
-        """Return whether the connection is open, without unread bytes or unfinished writes."""
+        """Return whether the connection is open, without unread bytes or unfinished writes.
+
+        After ``MAX_REQUESTS_PER_CONNECTION`` requests it isn't reused either.
+        """
         if self.closed() or self._read_buffer_size or self.writing():
             return False
+        if len(self._carried) >= MAX_REQUESTS_PER_CONNECTION:
+            return False
         try:
             self.socket.recv(1, _PEEK)
         except BlockingIOError:
@@ -65,22 +90,37 @@
         self._idle: dict[str, list[_IdleConnection]] = defaultdict(list)
         self._sweeper: asyncio.TimerHandle | None = None
 
-    async def acquire(self, address: str, connect_deadline_s: float) -> ClientStream:
-        """Return a reusable idle connection, or connect within ``connect_deadline_s``.
+    async def acquire(
+        self, address: str, connect_deadline_s: float, request_id: str
+    ) -> ClientStream:
+        """Return an idle connection that hasn't carried this id, or connect in time.
+
+        ``request_id`` is "" for a call without an id: it gets a new connection.
 
         Raises
         ------
         ConnectError
             The connection was refused or timed out, or the server is unreachable.
         """
+        stream = self._take_idle(address, request_id) if request_id else None
+        if stream is None:
+            self.connections_made += 1
+            stream = await connect_stream(address, self._bind_ip, connect_deadline_s, ClientStream)
+        stream.carry(request_id)
+        return stream
+
+    def _take_idle(self, address: str, request_id: str) -> ClientStream | None:
+        """Take out the connection that was used last; those that can't be reused are closed."""
         idle = self._idle[address]
-        while idle:
-            candidate = idle.pop()
-            if self._loop.time() <= candidate.until and candidate.stream.is_reusable():
-                return candidate.stream
-            candidate.stream.close()
-        self.connections_made += 1
-        return await connect_stream(address, self._bind_ip, connect_deadline_s, ClientStream)
+        now = self._loop.time()
+        for position in reversed(range(len(idle))):
+            candidate = idle[position]
+            if now <= candidate.until and candidate.stream.is_reusable():
+                if candidate.stream.has_carried(request_id):
+                    continue
+                return idle.pop(position).stream
+            idle.pop(position).stream.close()
+        return None
 
     def release(self, address: str, stream: ClientStream, idle_s: float = _DEFAULT_IDLE_S) -> None:
         """Return a connection to the pool after a complete exchange, for at most ``idle_s``."""
