A replica's refusal without the request's id is no promise

Callers saw: nothing so far; found on the way. rooklug's own model replicas put no id into refusals, and the front took any 503 with "busy" or "not_loaded" as "not run". A late refusal of an earlier request on the same connection would have been the promise for one that may have run.

Change: a refusal counts as "not run" only if its head repeats the request's id; else the attempt may have run.

Evidence: test_a_refusal_without_the_request_id_is_no_promise on the code before: 'not_run' != 'unknown'; now it passes.

--- a/rooklug/front/attempt.py
+++ b/rooklug/front/attempt.py
@@ -30,6 +30,7 @@
     Attributes:
         last_progress_at: When the call was sent or, later, when the last chunk arrived.
         status: HTTP status of the replica, 0 until its response starts.
+        is_identified: The head of the response repeats the request's id.
         refusal_body: Body received so far of a response other than 200.
     """
 
@@ -41,6 +42,7 @@
     first_chunk_timeout_s: float
     first_chunk_at: float | None = None
     status: int = 0
+    is_identified: bool = False
     refusal_body: bytes = b""
 
     @property
--- a/rooklug/front/attempt_runner.py
+++ b/rooklug/front/attempt_runner.py
@@ -120,6 +120,8 @@
             return self._handle_call_failure(request, event, now)
         if isinstance(event, ev.HttpResponseStarted):
             attempt.status = event.status
+            response_id = event.headers.get(REQUEST_ID_HEADER)
+            attempt.is_identified = response_id == request.head.request_id
             return Progress([])
         if attempt.status != 200:
             return self._handle_refusal(request, event, now)
@@ -201,12 +203,18 @@
     def _handle_refusal(
         self, request: ActiveRequest, event: ev.Event, now: float
     ) -> Progress | Failed:
-        """Collect a response other than 200; only the codes of ``NOT_RUN_CODES`` mean not run."""
+        """Collect a response other than 200.
+
+        It means "not run" only with a code of ``NOT_RUN_CODES`` and the request's id: without the
+        id it may be a late response to an earlier request.
+        """
         attempt = request.running_attempt
         if isinstance(event, ev.HttpBodyChunk):
             attempt.refusal_body = (attempt.refusal_body + event.data)[:MAX_REFUSAL_BYTES]
             return Progress([])
-        outcome = _refusal_outcome(attempt.status, attempt.refusal_body)
+        outcome = AttemptOutcome.BROKEN
+        if attempt.is_identified:
+            outcome = _refusal_outcome(attempt.status, attempt.refusal_body)
         may_have_run = outcome is AttemptOutcome.BROKEN
         return self._fail(
             request, outcome, f"status {attempt.status}", now, may_have_run=may_have_run
--- a/rooklug_lab/standins/http.py
+++ b/rooklug_lab/standins/http.py
@@ -6,6 +6,8 @@
 import attrs
 
 from rooklug.engine import effects as fx
+from rooklug.engine import events as ev
+from rooklug.front.requests import REQUEST_ID_HEADER
 
 JSON_HEADERS = {"Content-Type": "application/json"}
 STREAM_HEADERS = {"Content-Type": "application/x-ndjson"}
@@ -30,6 +32,16 @@
     return fx.HttpRespond(request_id, status, json_bytes(value), dict(JSON_HEADERS))
 
 
+def repeat_request_id(
+    request: ev.HttpRequestArrived, answer: fx.HttpRespond | fx.HttpStreamStart
+) -> fx.HttpRespond | fx.HttpStreamStart:
+    """Return the answer with the request's id: it tells a late answer from the next one's."""
+    request_id = request.headers.get(REQUEST_ID_HEADER, "")
+    if not request_id:
+        return answer
+    return attrs.evolve(answer, headers={**answer.headers, REQUEST_ID_HEADER: request_id})
+
+
 def respond_error(
     request_id: int, status: int, code: str, message: str = "", **more: Any
 ) -> fx.HttpRespond:
--- a/rooklug_lab/standins/model_replica.py
+++ b/rooklug_lab/standins/model_replica.py
@@ -20,7 +20,13 @@
     end_line,
     piece_line,
 )
-from rooklug_lab.standins.http import STREAM_HEADERS, json_object, respond, respond_error
+from rooklug_lab.standins.http import (
+    STREAM_HEADERS,
+    json_object,
+    repeat_request_id,
+    respond,
+    respond_error,
+)
 from rooklug_lab.standins.journals import journal_body
 from rooklug_lab.standins.loaded_models import LoadedModels
 from rooklug_lab.standins.orders import (
@@ -194,10 +200,10 @@
         request_id = str(body.get("request_id", ""))
         if not self.models.is_loaded(model):
             self.journal.refused_not_loaded += 1
-            return [respond_error(event.request_id, 503, "not_loaded")]
+            return [repeat_request_id(event, respond_error(event.request_id, 503, "not_loaded"))]
         if len(self._running) >= total_concurrency(self.settings, self.models):
             self.journal.refused_busy += 1
-            return [respond_error(event.request_id, 503, "busy")]
+            return [repeat_request_id(event, respond_error(event.request_id, 503, "busy"))]
         if not request_id:
             return [respond_error(event.request_id, 400, "invalid", "request_id is missing")]
         record = self._record(event, body, model, request_id, now)
@@ -205,8 +211,9 @@
         pieces = math.ceil(max_tokens / self.settings.tokens_a_piece)
         self._running[event.request_id] = RunningGeneration(event.request_id, record, pieces)
         wait = self._prefill_s(record)
+        start = fx.HttpStreamStart(event.request_id, 200, dict(STREAM_HEADERS))
         return [
-            fx.HttpStreamStart(event.request_id, 200, dict(STREAM_HEADERS)),
+            repeat_request_id(event, start),
             fx.StartTimer(_PACE + str(event.request_id), wait),
         ]
 
--- a/tests/front_support.py
+++ b/tests/front_support.py
@@ -13,6 +13,7 @@
 from rooklug.engine.composite import CompositeReducer
 from rooklug.engine.reducer import Identifiers, ProcessContext
 from rooklug.front.build import build_front_components
+from rooklug.front.requests import REQUEST_ID_HEADER
 from rooklug.model import topics
 from rooklug.model.internal_events import TopicChanged
 from rooklug.model.settings import NodeSettings
@@ -278,8 +279,10 @@
             effects += self.feed(ev.HttpBodyChunk(call.call_id, line.encode() + b"\n"))
         return effects
 
-    def begin(self, call: fx.HttpCall, status: int = 200) -> list[fx.Effect]:
-        return self.feed(ev.HttpResponseStarted(call.call_id, status, {}))
+    def begin(
+        self, call: fx.HttpCall, status: int = 200, headers: dict[str, str] | None = None
+    ) -> list[fx.Effect]:
+        return self.feed(ev.HttpResponseStarted(call.call_id, status, headers or {}))
 
     def end(self, call: fx.HttpCall, count: int) -> list[fx.Effect]:
         request_id = json.loads(call.body)["request_id"]
@@ -295,11 +298,14 @@
             *self.end(call, len(pieces)),
         ]
 
-    def refuse(self, call: fx.HttpCall, code: str = "busy") -> list[fx.Effect]:
-        """Let the replica refuse a call as not run, with an error code."""
+    def refuse(
+        self, call: fx.HttpCall, code: str = "busy", *, identified: bool = True
+    ) -> list[fx.Effect]:
+        """Let the replica refuse a call as not run, with an error code and the request's id."""
         body = json.dumps({"error": {"code": code}}).encode()
+        headers = {REQUEST_ID_HEADER: call.headers[REQUEST_ID_HEADER]} if identified else {}
         return [
-            *self.begin(call, 503),
+            *self.begin(call, 503, headers),
             *self.feed(ev.HttpBodyChunk(call.call_id, body)),
             *self.feed(ev.HttpResponseCompleted(call.call_id)),
         ]
--- a/tests/test_front_balancing.py
+++ b/tests/test_front_balancing.py
@@ -159,6 +159,14 @@
         self.assertEqual((answer_of(effects).status, document_of(effects)["outcome"]),
                          (503, "not_run"))  # fmt: skip
 
+    def test_a_refusal_without_the_request_id_is_no_promise(self) -> None:
+        # A late refusal of an earlier request was taken for this one's, which may have run.
+        self.front.generate()
+        effects = self.front.last
+        while "HttpCall" in kinds(effects):
+            effects = self.front.refuse(self.front.call(effects), identified=False)
+        self.assertEqual(document_of(effects)["outcome"], "unknown")
+
     def test_unloaded_model_does_not_affect_other_models(self) -> None:
         both = ["small", "talk"]
         self.front = FrontHarness()
