What any node knows of a primary outweighs the report of a first start

Operators would have seen: after the loss of all core disks an empty group, silently, in place of the acknowledged configuration, if one front had been cut off since the first second: it still says that it was started with the group and has heard of no primary. The same on the word of a founder that had been cut off since, and on rooklug's own deployments on that of the settings' default.

Cause: blank founders formed the first view on one positive report; nothing asked what others know.

Change: a renewal that reaches a core without a primary tells it also that the node has heard of a primary or holds a configuration. A blank core becomes a founder only if all founders have listened and none has heard of a primary; else the status and a log line name the loss of all disks and the runbook.

--- a/rooklug/core/constants.py
+++ b/rooklug/core/constants.py
@@ -1,5 +1,6 @@
 """Timing and size constants of the control state; the names end with the unit."""
 
+from rooklug.distribution.timing import MAX_BACKOFF_S, RENEWAL_DEADLINE_S
 from rooklug.model.constants import FAILOVER_TIMEOUT_S, PRIMARY_HEARTBEAT_S, PRIMARY_LEASE_S
 
 WITNESS_FILE = "witness"
@@ -43,6 +44,8 @@
 """Interval at which a core without a vote reads the other witnesses."""
 GROUP_START_REPORT_VALID_S = 5.0
 """Age at which a node's report that the group is at its first start is dropped."""
+GROUP_REPORT_WINDOW_S = RENEWAL_DEADLINE_S + MAX_BACKOFF_S
+"""Time within which a node without a primary calls another core, after one that didn't answer."""
 CATCH_UP_PAUSE_S = 0.25
 """The longest pause of appends during which a learner's log may become equal to the primary's."""
 CATCH_UP_LAG_ENTRIES = 256
--- a/rooklug/core/control_state_component.py
+++ b/rooklug/core/control_state_component.py
@@ -28,6 +28,7 @@
 from rooklug.core.disk_identity import DiskCheck, check_disk, new_incarnation
 from rooklug.core.documents import DocumentChecker
 from rooklug.core.formation import Formation
+from rooklug.core.group_reports import GroupReports
 from rooklug.core.http_interface import PREFIX, HttpInterface
 from rooklug.core.in_sync_set import NO_EXCLUSIONS
 from rooklug.core.joining import JoinRequester
@@ -44,7 +45,7 @@
 from rooklug.engine import events as ev
 from rooklug.engine.component import BaseComponent
 from rooklug.engine.reducer import MetricSample, ProcessContext
-from rooklug.model.internal_events import GroupStartReported
+from rooklug.model.internal_events import EarlierPrimaryReported, GroupStartReported
 from rooklug.model.settings import CoreSettings
 from rooklug.wire.generated.control import ttypes as control
 from rooklug.wire.generated.control.ttypes import CoreStatus
@@ -64,7 +65,7 @@
 
     name = "control-state"
     http_prefixes = (PREFIX,)
-    subscribes_to = (GroupStartReported,)
+    subscribes_to = (GroupStartReported, EarlierPrimaryReported)
 
     def __init__(
         self, settings: CoreSettings, context: ProcessContext, checker: DocumentChecker
@@ -93,7 +94,10 @@
         self.outbox = Outbox(self._context.identifiers)
         self.disk = Disk(self.outbox)
         self.store = ReplicaStore(self.disk)
-        self.witness = Witness(self.outbox, self.disk, self._last_position, self.peers)
+        self.group_reports = GroupReports()
+        self.witness = Witness(
+            self.outbox, self.disk, self._last_position, self.peers, self.group_reports
+        )
         self.backup = Backup(
             self.outbox, self.witness, self.store, self._on_primary_seen, self._on_diverged
         )
@@ -125,6 +129,7 @@
             self.peers,
             self.outbox,
             self.witness,
+            self.group_reports,
             first_start=settings.first_start,
         )
         self.join_requester = JoinRequester(
@@ -191,7 +196,9 @@
             case ev.CallAnswered() | ev.CallFailed():
                 self.outbox.complete_call(event, now)
             case GroupStartReported():
-                self.formation.record_group_start(now)
+                self.group_reports.record_start(now)
+            case EarlierPrimaryReported():
+                self.group_reports.record_primary()
             case ev.WriteFinished():
                 self.disk.on_write_finished(event.ticket, now)
             case ev.WriteFailed():
@@ -200,6 +207,7 @@
                 self.changes.on_check_completed(event.ticket, event.result, event.error, now)
 
     def _start(self, event: ev.Started, now: float) -> None:
+        self.group_reports.listen(now)
         checked = check_disk(event, self.peers.own_id)
         problem = self.store.load(event.records.get(LOG_FILE, ()))
         reason = checked.reason or (f"the log is damaged: {problem}" if problem else "")
--- a/rooklug/core/formation.py
+++ b/rooklug/core/formation.py
@@ -7,15 +7,11 @@
 """
 
 from rooklug.core import witness_rules
-from rooklug.core.constants import (
-    GROUP_START_REPORT_VALID_S,
-    MESSAGE_DEADLINE_S,
-    READ_WITNESS_INTERVAL_S,
-)
-from rooklug.core.follower import NEVER
+from rooklug.core.constants import MESSAGE_DEADLINE_S, READ_WITNESS_INTERVAL_S
+from rooklug.core.group_reports import GroupPast, GroupReports, combined
 from rooklug.core.outbox import Outbox
 from rooklug.core.peers import Peers
-from rooklug.core.records import disk_to_wire, witness_from_wire
+from rooklug.core.records import disk_to_wire, past_from_wire, witness_from_wire
 from rooklug.core.types import CoreMember, MemberDisk, View, WitnessState
 from rooklug.core.witness import Witness
 from rooklug.wire.generated.core import ttypes as wire
@@ -28,6 +24,11 @@
     "nothing is formed; start a core that has its disk and run the runbook recover-cores, or, if "
     "all disks are lost, start all cores with empty folders as a first start"
 )
+ALL_DISKS_LOST = (
+    "the disks of all cores are blank, but a node has heard of a primary or holds a configuration: "
+    "the data is missing, and nothing is formed; run the runbook recover-cores"
+)
+LISTENING = "all disks are blank: listening whether a node has heard of a primary"
 DATA_LOSS_SUSPECTED = (
     "two disks are blank beside one with data: this is no first start; "
     "nothing starts by itself, run the runbook recover-cores"
@@ -42,16 +43,23 @@
     """
 
     def __init__(
-        self, peers: Peers, outbox: Outbox, witness: Witness, *, first_start: bool
+        self,
+        peers: Peers,
+        outbox: Outbox,
+        witness: Witness,
+        group_reports: GroupReports,
+        *,
+        first_start: bool,
     ) -> None:
         self._first_start = first_start
+        self._group_reports = group_reports
         self._peers = peers
         self._outbox = outbox
         self._witness = witness
         self._read_at = 0.0
         self._attempt = 0
-        self._group_start_reported_at = NEVER
         self._states: dict[str, WitnessState] = {}
+        self._pasts: dict[str, GroupPast] = {}
         self.waiting_reason = WAITING
 
     def tick(self, now: float) -> None:
@@ -62,18 +70,11 @@
         self._read_at = now + READ_WITNESS_INTERVAL_S
         self._attempt += 1
         self._states = {}
+        self._pasts = {}
         own = self._witness.state.own
         attempt = self._attempt
         self._witness.save(self._witness.state, now, lambda now: self._read(own, attempt, now))
 
-    def record_group_start(self, now: float) -> None:
-        """Record the report of a node that was started with the group and has seen no primary.
-
-        If all founders were killed before their first write, only such nodes know that this is the
-        first start and that nothing can have been stored yet.
-        """
-        self._group_start_reported_at = now
-
     def is_member(self) -> bool:
         """Return whether the newest view read so far has this core as a voting member."""
         return self._peers.own_id in self._peers.members_of(self._newest_view())
@@ -98,6 +99,7 @@
             return
         state = witness_from_wire(answer.state)
         self._states[core_id] = state
+        self._pasts[core_id] = past_from_wire(answer.had_primary)
         if state.view is not None:
             self._peers.learn(state.view.members)
             self._peers.learn(state.view.previous)
@@ -130,18 +132,27 @@
         now: float,
     ) -> None:
         """Decide when all other members have answered, and too few of them may vote."""
-        is_interrupted = any(state.voting for state in states)
+        past = combined([self._group_reports.past(now), *self._pasts.values()])
         if newest is not None:
             self._wait(DATA_LOSS_SUSPECTED)
-        elif not (self._first_start or is_interrupted or self._is_group_starting(now)):
+        elif past is GroupPast.HAD_PRIMARY:
+            self._wait(ALL_DISKS_LOST)
+        elif not self._is_first_start(states, now):
             self._wait(NO_FIRST_START)
+        elif past is GroupPast.LISTENING:
+            self._wait(LISTENING)
         else:
             founder = witness_rules.become_founder(self._witness.state, founders, states)
             if founder is not None:
                 self._obtain_vote(founder, now)
 
-    def _is_group_starting(self, now: float) -> bool:
-        return now < self._group_start_reported_at + GROUP_START_REPORT_VALID_S
+    def _is_first_start(self, states: list[WitnessState], now: float) -> bool:
+        """Return whether the settings, a founder's disk or a node say that nothing is stored yet.
+
+        If all founders were killed before their first write, only nodes can know it.
+        """
+        is_interrupted = any(state.voting for state in states)
+        return self._first_start or is_interrupted or self._group_reports.is_starting(now)
 
     def _founders(self) -> tuple[CoreMember, ...]:
         """Return the founders that a witness has recorded, else those of the settings.
--- a/rooklug/core/witness.py
+++ b/rooklug/core/witness.py
@@ -11,11 +11,13 @@
 from rooklug.core import witness_rules
 from rooklug.core.constants import LEASE_GUARD_S, WITNESS_FILE, WITNESS_REWRITE_RECORDS
 from rooklug.core.disk import Continuation, Disk
+from rooklug.core.group_reports import GroupReports
 from rooklug.core.outbox import Outbox
 from rooklug.core.peers import Peers
 from rooklug.core.records import (
     disk_from_wire,
     disk_to_wire,
+    past_to_wire,
     position_to_wire,
     view_from_wire,
     view_to_wire,
@@ -37,12 +39,18 @@
     """
 
     def __init__(
-        self, outbox: Outbox, disk: Disk, last: Callable[[], Position], peers: Peers
+        self,
+        outbox: Outbox,
+        disk: Disk,
+        last: Callable[[], Position],
+        peers: Peers,
+        group_reports: GroupReports,
     ) -> None:
         self._outbox = outbox
         self._disk = disk
         self._last = last
         self._peers = peers
+        self._group_reports = group_reports
         self._file_records = 0
         self.state = WitnessState(MemberDisk("", ""))
         self.supported_primary: MemberDisk | None = None
@@ -138,12 +146,10 @@
         """Handle a read by a core that lost its disk; register its new disk before the answer."""
         state = witness_rules.register_disk(self.state, disk_from_wire(request.reader))
         if state is None:
-            self._outbox.answer(call_id, self._read_answer(registered=False))
+            self._outbox.answer(call_id, self._read_answer(now, registered=False))
             return
         self._release_if_replaced(disk_from_wire(request.reader), now)
-        self.save(
-            state, now, lambda now: self._outbox.answer(call_id, self._read_answer(registered=True))
-        )
+        self.save(state, now, lambda now: self._answer_read(call_id, now))
 
     def _release_if_replaced(self, reader: MemberDisk, now: float) -> None:
         """End the lease guard if the supported primary has a new disk: its lease is lost too."""
@@ -180,6 +186,9 @@
         if self.supported_primary == self.state.own:
             self.last_heartbeat_at = now - LEASE_GUARD_S
 
+    def _answer_read(self, call_id: int, now: float) -> None:
+        self._outbox.answer(call_id, self._read_answer(now, registered=True))
+
     def _answer_prepare(self, call_id: int, epoch: int) -> None:
         self._outbox.answer(
             call_id, self._prepare_answer(granted=self.state.promised_epoch == epoch)
@@ -199,11 +208,12 @@
     def _accept_answer(self, *, accepted: bool) -> wire.AcceptAnswer:
         return wire.AcceptAnswer(accepted=accepted, promised_epoch=self.state.promised_epoch)
 
-    def _read_answer(self, *, registered: bool) -> wire.ReadWitnessAnswer:
+    def _read_answer(self, now: float, *, registered: bool) -> wire.ReadWitnessAnswer:
         return wire.ReadWitnessAnswer(
             registered=registered,
             state=witness_to_wire(self.state),
             last=position_to_wire(self._last()),
+            had_primary=past_to_wire(self._group_reports.past(now)),
         )
 
     def _write(self, record: bytes, now: float) -> None:
--- a/rooklug/membership/lease_service.py
+++ b/rooklug/membership/lease_service.py
@@ -9,7 +9,8 @@
 from rooklug.membership.membership_state import MembershipState
 from rooklug.membership.timing import MEMBERS_BATCH_S, TICK_S
 from rooklug.model.constants import NODE_LEASE_S
-from rooklug.model.internal_events import GroupStartReported
+from rooklug.model.internal_events import EarlierPrimaryReported, GroupStartReported
+from rooklug.model.versions import ZERO_VERSION, version_key
 from rooklug.wire.generated.control.ttypes import RenewLeaseRequest
 
 PUBLISH_MEMBERS_TIMER = "publish-members"
@@ -30,7 +31,7 @@
         if not state.is_active_primary(now):
             return [
                 fx.Answer(event.call_id, state.renewal_rejection(now)),
-                *_group_start_report(request),
+                *_report_of_the_past(request),
             ]
         if request.leaving:
             return self._leave(event.call_id, request, now)
@@ -106,8 +107,11 @@
         return state.wake(now) if published else []
 
 
-def _group_start_report(request: RenewLeaseRequest) -> list[fx.Effect]:
-    """Return the report that the group is at its first start, if the request states it."""
-    if not request.group_is_starting:
-        return []
-    return [EmitEvent(GroupStartReported(request.node.node_id))]
+def _report_of_the_past(request: RenewLeaseRequest) -> list[fx.Effect]:
+    """Return what the node knows of the group's past: a primary, its first start, or nothing."""
+    node = request.node
+    if request.seen_epoch or version_key(node.configuration) > version_key(ZERO_VERSION):
+        return [EmitEvent(EarlierPrimaryReported(node.node_id))]
+    if request.group_is_starting:
+        return [EmitEvent(GroupStartReported(node.node_id))]
+    return []
--- a/rooklug/model/internal_events.py
+++ b/rooklug/model/internal_events.py
@@ -28,6 +28,13 @@
     node_id: str
 
 
+@attrs.frozen
+class EarlierPrimaryReported(InternalEvent):
+    """A node that called a core without a primary has heard of one, or holds a configuration."""
+
+    node_id: str
+
+
 @attrs.frozen
 class PrimaryLeaseExtended(InternalEvent):
     """The primary's lease is valid until monotonic time ``until``, in seconds of this process."""
--- a/tests/test_membership_tables.py
+++ b/tests/test_membership_tables.py
@@ -2,9 +2,13 @@
 
 import unittest
 
+from rooklug.engine import events as ev
+from rooklug.engine.component import EmitEvent
 from rooklug.membership.decisions import START, Cursor, DecisionRing, DecisionStream
+from rooklug.membership.lease_service import LeaseService
 from rooklug.membership.leases import LeaseTable, RenewalOutcome, identity_of
 from rooklug.membership.members_topic import MembersTopic
+from rooklug.membership.membership_state import MembershipState
 from rooklug.membership.primary_tracker import PrimaryTracker
 from rooklug.membership.publications import Publications, PublishRejection, publication_version
 from rooklug.membership.roles import ROLE_LEASE_MS, RoleTable
@@ -16,6 +20,7 @@
 )
 from rooklug.membership.topic_store import TopicStore
 from rooklug.model import internal_events as internal
+from rooklug.model.internal_events import EarlierPrimaryReported, GroupStartReported
 from rooklug.model.topics import PLAN, REPLICAS, ROLE_PLACER
 from rooklug.wire.generated.control import ttypes
 from rooklug.wire.generated.control.ttypes import RoleGrant, VersionMark
@@ -40,6 +45,37 @@
     return ttypes.RenewLeaseRequest(node, list(held_grants), False, sequence, seen_epoch)
 
 
+class PastOfTheGroup(unittest.TestCase):
+    """What a core without a primary learns from a node's renewal."""
+
+    def reports(
+        self, *, configuration: VersionMark, seen_epoch: int, group_is_starting: bool
+    ) -> list[type]:
+        request = renewal(record("a", configuration=configuration), 1, seen_epoch=seen_epoch)
+        request.group_is_starting = group_is_starting
+        service = LeaseService(MembershipState(PrimaryTracker("core-a")))
+        effects = service.renew(ev.CallArrived(1, "a", request), 0.0)
+        return [type(effect.event) for effect in effects if isinstance(effect, EmitEvent)]
+
+    def test_a_primary_heard_of_outweighs_the_first_start(self) -> None:
+        # Nothing but the first start was reported, so that blank disks could replace lost data.
+        nothing, some = VersionMark(0, 0), VersionMark(2, 7)
+        for configuration, seen_epoch, is_starting, expected in (
+            (nothing, 0, False, []),
+            (nothing, 0, True, [GroupStartReported]),
+            (nothing, 3, True, [EarlierPrimaryReported]),
+            (some, 0, True, [EarlierPrimaryReported]),
+            (some, 3, False, [EarlierPrimaryReported]),
+        ):
+            with self.subTest(configuration=configuration, seen_epoch=seen_epoch):
+                reported = self.reports(
+                    configuration=configuration,
+                    seen_epoch=seen_epoch,
+                    group_is_starting=is_starting,
+                )
+                self.assertEqual(reported, expected)
+
+
 class LeaseTest(unittest.TestCase):
     def setUp(self) -> None:
         self.leases = LeaseTable()
