The runbook recover-cores starts anew after the loss of all core disks

Operators saw: with all disks lost each blank core sent them to another ("this core has no data: ask one that has"); the way out was to start all cores as a first start, under epochs that nodes ignore, and the configuration that fronts still served under had to be found by hand.

Change: if all cores answer and all their disks are blank, the plan is to start anew without data; it says that everything is lost and needs the operator's word. Nodes report the newest epoch that they have heard of, and the new group's is above it.

--- a/idl/core.thrift
+++ b/idl/core.thrift
@@ -117,8 +117,8 @@
   1: required bool registered              // false: the reader's disk was replaced since
   2: required WitnessRecord state
   3: required LogPosition last
-  4: optional bool had_primary             // true: a node has reported one; false: none has, within
-                                           // the time in which nodes report; unset: still listening
+  4: optional i64 reported_epoch           // highest epoch of a primary that a node has reported; 0:
+                                           // none within the time to report; unset: still listening
 }
 // A core that is no member asks the primary to make it one.
 struct JoinRequest {
--- a/rooklug/core/control_state_component.py
+++ b/rooklug/core/control_state_component.py
@@ -140,6 +140,7 @@
             self.outbox,
             self.witness,
             self.store,
+            self.group_reports,
             self._has_primary,
             self._on_view_chosen,
         )
@@ -198,7 +199,7 @@
             case GroupStartReported():
                 self.group_reports.record_start(now)
             case EarlierPrimaryReported():
-                self.group_reports.record_primary()
+                self.group_reports.record_primary(event.epoch)
             case ev.WriteFinished():
                 self.disk.on_write_finished(event.ticket, now)
             case ev.WriteFailed():
--- a/rooklug/core/formation.py
+++ b/rooklug/core/formation.py
@@ -8,10 +8,10 @@
 
 from rooklug.core import witness_rules
 from rooklug.core.constants import MESSAGE_DEADLINE_S, READ_WITNESS_INTERVAL_S
-from rooklug.core.group_reports import GroupPast, GroupReports, combined
+from rooklug.core.group_reports import GroupPast, GroupReports, combined, past_of
 from rooklug.core.outbox import Outbox
 from rooklug.core.peers import Peers
-from rooklug.core.records import disk_to_wire, past_from_wire, witness_from_wire
+from rooklug.core.records import disk_to_wire, witness_from_wire
 from rooklug.core.types import CoreMember, MemberDisk, View, WitnessState
 from rooklug.core.witness import Witness
 from rooklug.wire.generated.core import ttypes as wire
@@ -99,7 +99,7 @@
             return
         state = witness_from_wire(answer.state)
         self._states[core_id] = state
-        self._pasts[core_id] = past_from_wire(answer.had_primary)
+        self._pasts[core_id] = past_of(answer.reported_epoch)
         if state.view is not None:
             self._peers.learn(state.view.members)
             self._peers.learn(state.view.previous)
--- a/rooklug/core/group_reports.py
+++ b/rooklug/core/group_reports.py
@@ -21,12 +21,15 @@
 
 
 class GroupReports:
-    """The reports that this process has received; all are lost when it ends."""
+    """The reports that this process has received; all are lost when it ends.
+
+    ``highest_epoch`` is that of the newest primary that a node has heard of, 0 for none.
+    """
 
     def __init__(self) -> None:
         self._listening_since = 0.0
         self._start_reported_at = NEVER
-        self._had_primary = False
+        self.highest_epoch = 0
 
     def listen(self, now: float) -> None:
         """Begin the time within which every connected node reports."""
@@ -36,9 +39,9 @@
         """Record that a node was started with the group and has heard of no primary."""
         self._start_reported_at = now
 
-    def record_primary(self) -> None:
-        """Record that a node has heard of a primary or holds a configuration."""
-        self._had_primary = True
+    def record_primary(self, epoch: int) -> None:
+        """Record that a node has heard of a primary of that epoch, or holds what it published."""
+        self.highest_epoch = max(self.highest_epoch, epoch)
 
     def is_starting(self, now: float) -> bool:
         """Return whether a node has reported the group's first start recently."""
@@ -46,12 +49,23 @@
 
     def past(self, now: float) -> GroupPast:
         """Return what is known of the group's past at monotonic time ``now``."""
-        if self._had_primary:
+        if self.highest_epoch:
             return GroupPast.HAD_PRIMARY
         if now < self._listening_since + GROUP_REPORT_WINDOW_S:
             return GroupPast.LISTENING
         return GroupPast.NO_PRIMARY_REPORTED
 
+    def reported_epoch(self, now: float) -> int | None:
+        """Return the highest epoch reported, 0 if none was in time; None while listening."""
+        return None if self.past(now) is GroupPast.LISTENING else self.highest_epoch
+
+
+def past_of(reported_epoch: int | None) -> GroupPast:
+    """Return what another core's ``reported_epoch`` says of the group's past."""
+    if reported_epoch is None:
+        return GroupPast.LISTENING
+    return GroupPast.HAD_PRIMARY if reported_epoch else GroupPast.NO_PRIMARY_REPORTED
+
 
 def combined(pasts: list[GroupPast]) -> GroupPast:
     """Return what several cores know together: a single report of a primary outweighs the rest."""
--- a/rooklug/core/records.py
+++ b/rooklug/core/records.py
@@ -1,6 +1,5 @@
 """Conversion between the values of ``types`` and thrift structs."""
 
-from rooklug.core.group_reports import GroupPast
 from rooklug.core.types import (
     CoreMember,
     EpochRun,
@@ -106,18 +105,3 @@
     """Decode the promise in an answer with ``granted`` set."""
     view = view_from_wire(answer.view) if answer.view else None
     return Promise(disk_from_wire(answer.voter), view, position_from_wire(answer.last))
-
-
-_HAD_PRIMARY = {GroupPast.HAD_PRIMARY: True, GroupPast.NO_PRIMARY_REPORTED: False}
-
-
-def past_to_wire(past: GroupPast) -> bool | None:
-    """Encode what a core has heard of its group's past; None while it is listening."""
-    return _HAD_PRIMARY.get(past)
-
-
-def past_from_wire(had_primary: bool | None) -> GroupPast:  # noqa: FBT001 - a field's value
-    """Decode what a core has heard of its group's past."""
-    if had_primary is None:
-        return GroupPast.LISTENING
-    return GroupPast.HAD_PRIMARY if had_primary else GroupPast.NO_PRIMARY_REPORTED
--- a/rooklug/core/recovery.py
+++ b/rooklug/core/recovery.py
@@ -13,6 +13,7 @@
 
 from rooklug.core import witness_rules
 from rooklug.core.constants import MESSAGE_DEADLINE_S
+from rooklug.core.group_reports import GroupReports
 from rooklug.core.outbox import Outbox
 from rooklug.core.peers import Peers
 from rooklug.core.quorum import majority
@@ -49,10 +50,19 @@
 
 @attrs.frozen
 class Survivor:
-    """The witness state and the end of the log of a core that has answered."""
+    """The witness state and the end of the log of a core that has answered.
+
+    ``reported_epoch`` is the highest epoch of a primary that a node has reported to it.
+    """
 
     state: WitnessState
     last: Position
+    reported_epoch: int
+
+    @property
+    def is_blank(self) -> bool:
+        """Whether the core's disk holds nothing of any view."""
+        return self.state.view is None and not self.last.sequence
 
 
 @attrs.define(eq=False)
@@ -80,6 +90,7 @@
         outbox: Outbox,
         witness: Witness,
         store: ReplicaStore,
+        group_reports: GroupReports,
         has_primary: Callable[[float], bool],
         on_recovered: Callable[[View, float, float], None],
     ) -> None:
@@ -87,6 +98,7 @@
         self._outbox = outbox
         self._witness = witness
         self._store = store
+        self._group_reports = group_reports
         self._has_primary = has_primary
         self._on_recovered = on_recovered
 
@@ -107,7 +119,8 @@
     def _read_witness(self, survey: Survey, core_id: str, read: wire.ReadWitnessRequest) -> None:
         def answered(answer: wire.ReadWitnessAnswer, now: float) -> None:
             state = witness_from_wire(answer.state)
-            survey.survivors[core_id] = Survivor(state, position_from_wire(answer.last))
+            last = position_from_wire(answer.last)
+            survey.survivors[core_id] = Survivor(state, last, answer.reported_epoch or 0)
             completed(now)
 
         def completed(now: float) -> None:
@@ -135,7 +148,8 @@
         own = self._witness.state
         if self._has_primary(now):
             return Refusal(RecoveryOutcome.NOT_NEEDED, "a primary is at work")
-        if not own.voting and not self._store.last.sequence:
+        has_data = own.voting or self._store.last.sequence > 0
+        if not has_data and not self._are_all_blank(survey):
             return Refusal(RecoveryOutcome.REFUSED, "this core has no data: ask one that has")
         if not survey.survivors:
             return Refusal(
@@ -152,6 +166,13 @@
             )
         return None
 
+    def _are_all_blank(self, survey: Survey) -> bool:
+        """Return whether every other core has answered, and no disk holds anything."""
+        is_complete = set(survey.survivors) == set(self._peers.others)
+        own = self._witness.state
+        is_blank = own.view is None and not self._store.last.sequence
+        return is_complete and is_blank and all(s.is_blank for s in survey.survivors.values())
+
     def _can_elect_without_operator(self, survey: Survey) -> bool:
         states = [self._witness.state, *(s.state for s in survey.survivors.values())]
         voters = [state for state in states if state.voting]
@@ -171,6 +192,11 @@
             for core_id, survivor in sorted(survey.survivors.items())
         ]
         missing = sorted(set(self._peers.others) - set(survey.survivors))
+        if self._are_all_blank(survey):
+            return (
+                f"start anew without any data on {state.own.core_id} (disk {state.own.disk_id}); "
+                f"with {', '.join(others)}"
+            )
         return (
             f"go on from {state.own.core_id} (disk {state.own.disk_id}, epoch {last.epoch}, "
             f"entry {last.sequence}); with {', '.join(others)}; "
@@ -180,6 +206,11 @@
     def _losses(self, survey: Survey) -> list[str]:
         state, last = self._witness.state, self._store.last
         view = self._newest_view(survey)
+        if self._are_all_blank(survey):
+            return [
+                "everything that was ever acknowledged, configuration and zone orders: all disks "
+                "are blank; a front may still hold the configuration"
+            ]
         losses = []
         if view is None or not view.has(state.own):
             losses.append(
@@ -209,6 +240,9 @@
         own = self._witness.state.own
         states = [survivor.state for survivor in survey.survivors.values()]
         highest = max(state.promised_epoch for state in [self._witness.state, *states])
+        # Nodes ignore a primary of a lower epoch than the last one that they have heard of.
+        reported = [survivor.reported_epoch for survivor in survey.survivors.values()]
+        highest = max(highest, self._group_reports.highest_epoch, *reported)
         epoch = witness_rules.next_epoch(highest, self._peers.index)
         newest = self._newest_view(survey)
         members = newest.members if newest else ()
--- a/rooklug/core/witness.py
+++ b/rooklug/core/witness.py
@@ -17,7 +17,6 @@
 from rooklug.core.records import (
     disk_from_wire,
     disk_to_wire,
-    past_to_wire,
     position_to_wire,
     view_from_wire,
     view_to_wire,
@@ -213,7 +212,7 @@
             registered=registered,
             state=witness_to_wire(self.state),
             last=position_to_wire(self._last()),
-            had_primary=past_to_wire(self._group_reports.past(now)),
+            reported_epoch=self._group_reports.reported_epoch(now),
         )
 
     def _write(self, record: bytes, now: float) -> None:
--- a/rooklug/membership/lease_service.py
+++ b/rooklug/membership/lease_service.py
@@ -10,7 +10,6 @@
 from rooklug.membership.timing import MEMBERS_BATCH_S, TICK_S
 from rooklug.model.constants import NODE_LEASE_S
 from rooklug.model.internal_events import EarlierPrimaryReported, GroupStartReported
-from rooklug.model.versions import ZERO_VERSION, version_key
 from rooklug.wire.generated.control.ttypes import RenewLeaseRequest
 
 PUBLISH_MEMBERS_TIMER = "publish-members"
@@ -110,8 +109,9 @@
 def _report_of_the_past(request: RenewLeaseRequest) -> list[fx.Effect]:
     """Return what the node knows of the group's past: a primary, its first start, or nothing."""
     node = request.node
-    if request.seen_epoch or version_key(node.configuration) > version_key(ZERO_VERSION):
-        return [EmitEvent(EarlierPrimaryReported(node.node_id))]
+    known_epoch = max(request.seen_epoch, node.configuration.epoch)
+    if known_epoch:
+        return [EmitEvent(EarlierPrimaryReported(node.node_id, known_epoch))]
     if request.group_is_starting:
         return [EmitEvent(GroupStartReported(node.node_id))]
     return []
--- a/rooklug/model/internal_events.py
+++ b/rooklug/model/internal_events.py
@@ -30,9 +30,13 @@
 
 @attrs.frozen
 class EarlierPrimaryReported(InternalEvent):
-    """A node that called a core without a primary has heard of one, or holds a configuration."""
+    """A node that called a core without a primary has heard of one, or holds a configuration.
+
+    ``epoch`` is the highest epoch that it knows.
+    """
 
     node_id: str
+    epoch: int
 
 
 @attrs.frozen
--- a/rooklug/runbooks/recover_cores.py
+++ b/rooklug/runbooks/recover_cores.py
@@ -4,7 +4,13 @@
 
 import attrs
 
-from rooklug.cli.operator_client import OperatorRequest
+from rooklug.api.answers import VERSION_HEADER
+from rooklug.cli.operator_client import OperatorAnswer, OperatorRequest
+from rooklug.cli.operator_requests import (
+    LOCAL_CONFIGURATION,
+    NEWEST_CONFIGURATION,
+    put_configuration,
+)
 from rooklug.runbooks.model import Finding, Parameter, Runbook, Step
 from rooklug.runbooks.site import PHASE_PRIMARY, Site
 
@@ -47,6 +53,8 @@
     def __init__(self, addresses: tuple[str, ...]) -> None:
         self._addresses = addresses
         self._plan: RecoverPlan | None = None
+        self._kept: OperatorAnswer | None = None
+        self._nobody_holds_any = False
 
     async def enough_answer(self, site: Site) -> Finding:
         """Check that a majority of the cores answers, or that there is a primary."""
@@ -106,6 +114,36 @@
         )
         return Finding(is_complete, text)
 
+    async def find_configuration(self, site: Site) -> Finding:
+        """Look for the newest configuration that a front still holds, if the cores have none."""
+        self._kept = None
+        newest = await site.order(NEWEST_CONFIGURATION)
+        if newest.is_ok():
+            return Finding.passed(f"the cores hold version {_version(newest.ok)}")
+        kept = await site.ask_each_front(LOCAL_CONFIGURATION)
+        self._kept = max(kept, key=_version, default=None)
+        self._nobody_holds_any = self._kept is None
+        if self._kept is None:
+            return Finding.passed("neither the cores nor the fronts of --node hold any")
+        text = f"the cores hold none; front {self._kept.node} serves under {_version(self._kept)}"
+        return Finding.passed(f"{text}, which will be put again as it is")
+
+    async def put_kept_configuration(self, site: Site) -> Finding:
+        """Put the configuration that ``find_configuration`` has found at a front, if any."""
+        if self._kept is None:
+            return Finding.passed("nothing to put")
+        answer = await site.order(put_configuration(_version(self._kept), self._kept.body))
+        if answer.is_error():
+            return Finding.failed(f"not acknowledged: {answer.error}")
+        return Finding.passed(f"version {_version(self._kept)} is acknowledged")
+
+    async def has_configuration(self, site: Site) -> Finding:
+        """Check that the cores hold the configuration, unless nobody has any."""
+        newest = await site.order(NEWEST_CONFIGURATION)
+        if newest.is_ok():
+            return Finding.passed(f"the cores hold version {_version(newest.ok)}")
+        return Finding(self._nobody_holds_any, "the cores hold no configuration")
+
     async def _survey(self, site: Site) -> tuple[list[CoreState], list[str]]:
         """Return the states of the cores that answer and the addresses of the others."""
         states, unreachable = [], []
@@ -118,6 +156,11 @@
         return states, unreachable
 
 
+def _version(answer: OperatorAnswer) -> int:
+    """Return the version of a configuration that a front has sent."""
+    return int(answer.headers.get(VERSION_HEADER, "0"))
+
+
 def _recover_request(plan: str) -> OperatorRequest:
     return OperatorRequest("POST", _RECOVER_PATH, json.dumps({"plan": plan}).encode())
 
@@ -175,15 +218,23 @@
             undo="stop the core again; those in sync go on",
             verify_limit_s=600.0,
         ),
+        Step(
+            title="the cores hold a configuration",
+            check=recovery.find_configuration,
+            act=recovery.put_kept_configuration,
+            verify=recovery.has_configuration,
+            undo="put the configuration that you sent last with `rooklug ctl apply`",
+        ),
     ]
 
 
 RECOVER_CORES = Runbook(
     name="recover-cores",
     title="Go on from one copy after the quorum is lost",
-    when="No core is primary and none becomes it by itself: two disks are lost, or all that were "
-    "in sync. It may lose acknowledged changes, and the check of its second step says which: "
-    "read that before you confirm, and don't run it with --yes.",
+    when="No core is primary and none becomes it by itself: two disks are lost, all that were in "
+    "sync, or all; then the configuration that a front of --node still holds is put again. It may "
+    "lose acknowledged changes, and the check of its second step says which: read that before you "
+    "confirm, and don't run it with --yes.",
     plan=_plan,
     parameters=(Parameter("cores", "HTTP addresses of all cores, ip:port,ip:port,ip:port"),),
 )
--- a/rooklug/runbooks/site.py
+++ b/rooklug/runbooks/site.py
@@ -117,6 +117,11 @@
             return Error("; ".join(outcome.error.reasons) or "no answer")
         return self._require_success(outcome.ok)
 
+    async def ask_each_front(self, request: OperatorRequest) -> list[OperatorAnswer]:
+        """Send a query to each front that the operator has named; return the successful answers."""
+        answers = [await self.call_node(address, request) for address in self._client.nodes]
+        return [answer.ok for answer in answers if answer.is_ok()]
+
     async def call_node(
         self, address: str, request: OperatorRequest
     ) -> Result[OperatorAnswer, str]:
--- a/rooklug_lab/scenarios/actions.py
+++ b/rooklug_lab/scenarios/actions.py
@@ -123,6 +123,27 @@
     await asyncio.sleep(RECOVERY_S)
 
 
+async def lose_all_disks(run: ScenarioRun) -> None:
+    """Lose the disks of all cores; the runbook recover-cores puts a front's configuration again."""
+    await run.stop_changes()
+    await run.change()
+    cores = [core.node.node_id for core in run.fleet.deployment.cores]
+    for name in cores:
+        run.fleet.kill(name)
+        run.fleet.lose_disk(name)
+    faults = run.begin("all-disks-lost", *cores)
+    for name in cores:
+        run.fleet.start_process(name)
+    await asyncio.sleep(RECOVERY_S / 2)
+    if await run.fleet.primary():
+        run.problems.append("blank cores formed a group although fronts hold a configuration")
+    addresses = [run.fleet.listening(run.fleet.nodes[name].http_address) for name in cores]
+    await run.run_runbook("recover-cores", cores=",".join(addresses))
+    run.end(faults)
+    await run.check_reads_back()
+    await asyncio.sleep(RECOVERY_S)
+
+
 async def replica_leaving(run: ScenarioRun) -> None:
     """Show a model replica as leaving, take it away, and list it again."""
     site = run.fleet.deployment
--- a/rooklug_lab/scenarios/catalogue.py
+++ b/rooklug_lab/scenarios/catalogue.py
@@ -31,6 +31,7 @@
     actions.freeze_primary,
     actions.freeze_placer,
     actions.lose_disk,
+    actions.lose_all_disks,
     actions.replica_leaving,
     actions.zone_emptied,
     actions.replicas_cold,
--- a/rooklug_lab/scenarios/scenario_run.py
+++ b/rooklug_lab/scenarios/scenario_run.py
@@ -3,9 +3,14 @@
 import asyncio
 import contextlib
 import json
+import time
 from random import Random
 from typing import Any
 
+from rooklug.cli.operator_client import OperatorClient
+from rooklug.runbooks.catalogue import RUNBOOKS
+from rooklug.runbooks.runner import Operator, RunbookRunner
+from rooklug.runbooks.site import Site
 from rooklug_lab.fleet.client import ConditionNotMetError, wait_until
 from rooklug_lab.fleet.fleet import Fleet
 from rooklug_lab.fleet.link_rules import LinkRule
@@ -141,6 +146,15 @@
         if sent is not None and sent != read_back.document:
             self.problems.append(f"configuration {version} isn't read back as it was sent")
 
+    async def run_runbook(self, name: str, **values: str) -> None:
+        """Run a runbook with all its steps confirmed; that it stops is a problem."""
+        fronts = tuple(self.fleet.listening(a) for a in self.fleet.deployment.front_addresses())
+        site = Site(OperatorClient(fronts), time.monotonic)
+        lines: list[str] = []
+        operator = Operator(lines.append, lambda question: True)
+        if not await RunbookRunner(site, operator).run(RUNBOOKS[name], values):
+            self.problems.append(f"runbook {name} stopped: {'; '.join(lines)}")
+
     # -- faults ---------------------------------------------------------------------
 
     def begin(self, kind: str, *targets: str) -> list[Fault]:
--- a/tests/test_core_formation.py
+++ b/tests/test_core_formation.py
@@ -32,6 +32,8 @@
 WALKS, WALK_SEED = 10, 3267
 SEEDS = 60
 FORMED_WITHIN_S = 2.0
+EARLIER_EPOCH = 900
+"""Epoch of a primary that a node has heard of."""
 
 
 def late_accept() -> World:
@@ -338,7 +340,7 @@
         self.deliver(core_id, GroupStartReported("front-1"))
 
     def report_earlier_primary(self, core_id: str) -> None:
-        self.deliver(core_id, EarlierPrimaryReported("front-2"))
+        self.deliver(core_id, EarlierPrimaryReported("front-2", EARLIER_EPOCH))
 
     def deliver(self, core_id: str, event: InternalEvent) -> None:
         core = self.cluster.cores[core_id]
