--- a/tests/test_core_formation.py
+++ b/tests/test_core_formation.py
@@ -16,16 +16,10 @@
 from rooklug.engine.component import InternalEvent
 from rooklug.model.internal_events import EarlierPrimaryReported, GroupStartReported
 from rooklug.storage.first_start import MARK_FILE, record_first_start, recorded_founders
-from tests import core_formation_exploration as model
+from tests import core_formation_steps as model
 from tests.core_cluster import CORE_IDS, Cluster
-from tests.core_formation_exploration import (
-    Budget,
-    World,
-    chosen_roots,
-    explore,
-    first_world,
-    walk,
-)
+from tests.core_formation_exploration import BrokenInvariantError, explore, walk
+from tests.core_formation_world import Budget, World, chosen_roots, first_world, founders_of
 from tests.core_oracle import OperatorChange, Oracle
 
 STATES = 20_000
@@ -129,7 +123,7 @@
         start = first_world(3, budget)
         with (
             mock.patch.object(owner, name, replacement),
-            self.assertRaises(model.BrokenInvariantError),
+            self.assertRaises(BrokenInvariantError),
         ):
             explore(start, 15_000)
             walk(start, walks=WALKS, steps=100, seed=WALK_SEED)
@@ -192,7 +186,7 @@
         def lose_and_count_as_first(world, index):
             for following in model._lose_disk(world, index):
                 core = following.cores[index]
-                state = witness_rules.become_founder(core.state, model.founders_of(world))
+                state = witness_rules.become_founder(core.state, founders_of(world))
                 yield model._with(following, index, attrs.evolve(core, state=state))
 
         self.assertEqual(len(chosen_roots(vote_after_loss(model._lose_disk))), 1)
