--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -3,7 +3,9 @@
 import json
 import subprocess
 import sys
+import tempfile
 import unittest
+from pathlib import Path
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -213,6 +215,21 @@
         problems = settings.read_settings(broken).error
         self.assertEqual([p.partition(":")[0] for p in problems], ["zone", "bounds.grace_s"])
 
+    def test_the_programs_of_this_checkout_run_whatever_else_is_installed(self):
+        # An installed copy of another version was imported in their place.
+        with tempfile.TemporaryDirectory() as folder:
+            package = Path(folder) / "rooklug"
+            package.mkdir()
+            (package / "__init__.py").write_text("raise SystemExit('another version')")
+            done = subprocess.run(
+                [sys.executable, "platform/start.py", "front"],
+                cwd=ROOT,
+                capture_output=True,
+                env={"ROOKLUG_SETTINGS": "/nowhere", "PYTHONPATH": folder},
+            )
+        self.assertEqual((done.returncode, done.stderr.count(b"another version")), (2, 0))
+        self.assertTrue(done.stderr.startswith(b"settings: "), done.stderr)
+
     def test_a_wrong_file_ends_the_start_with_a_usage_error(self):
         for arguments, path in ((["front"], "/nowhere"), (["other"], "/nowhere"), ([], "")):
             done = subprocess.run(
