--- a/tests/core_cluster_waits.py
+++ b/tests/core_cluster_waits.py
@@ -7,7 +7,8 @@
 from rooklug.engine import effects as fx
 from rooklug.engine import events as ev
 from rooklug.wire.generated.control import ttypes as control
-from tests.core_cluster import Cluster, Core
+from tests.core_cluster import Cluster
+from tests.core_machine import Core
 
 READ = control.ReadConfigurationRequest(linearizable=True)
 
--- a/tests/core_failover.py
+++ b/tests/core_failover.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable
 
 from rooklug.engine.events import StopRequested
-from tests.core_cluster import Cluster, Core
+from tests.core_cluster import Cluster
+from tests.core_machine import Core
 from tests.test_core_replication import change_request, started_cluster
 
 WAIT_S = 60.0
--- a/tests/core_faults.py
+++ b/tests/core_faults.py
@@ -7,7 +7,8 @@
 from random import Random
 
 from rooklug.engine import events as ev
-from tests.core_cluster import CORE_IDS, LATER_IDS, Cluster
+from tests.core_cluster import Cluster
+from tests.core_machine import CORE_IDS, LATER_IDS
 from tests.core_oracle import BrokenGuaranteeError, Operator, Oracle
 
 
--- a/tests/core_oracle.py
+++ b/tests/core_oracle.py
@@ -8,7 +8,8 @@
 from rooklug.model import internal_events as internal
 from rooklug.wire.codec import encode
 from rooklug.wire.generated.control import ttypes as control
-from tests.core_cluster import CORE_IDS, INVALID, Cluster, Core
+from tests.core_cluster import Cluster
+from tests.core_machine import CORE_IDS, INVALID, Core
 
 FINAL_OUTCOMES = {"accepted", "conflict", "invalid", "unavailable", "not_primary"}
 
--- a/tests/test_core_disks.py
+++ b/tests/test_core_disks.py
@@ -7,8 +7,8 @@
 
 from rooklug.core.constants import LEASE_GUARD_S, QUORUM_TIMEOUT_S
 from rooklug.wire.generated.core import ttypes as wire
-from tests.core_cluster import CORE_IDS
 from tests.core_cluster_waits import http, in_sync, wait_back, wait_in_sync
+from tests.core_machine import CORE_IDS
 from tests.test_core_replication import call_core, change_request, started_cluster
 
 
--- a/tests/test_core_faults.py
+++ b/tests/test_core_faults.py
@@ -10,8 +10,9 @@
 from rooklug.core.constants import LEASE_GUARD_S
 from rooklug.wire.generated.core.ttypes import MemberDisk, PrepareRequest
 from tests import core_mutations
-from tests.core_cluster import CORE_IDS, Cluster
+from tests.core_cluster import Cluster
 from tests.core_faults import run_seed
+from tests.core_machine import CORE_IDS
 from tests.core_mutations import Mutation
 from tests.core_oracle import BrokenGuaranteeError, Operator, Oracle
 from tests.core_storm import Client, free_address
--- a/tests/test_core_formation.py
+++ b/tests/test_core_formation.py
@@ -17,9 +17,10 @@
 from rooklug.model.internal_events import EarlierPrimaryReported, GroupStartReported
 from rooklug.storage.first_start import MARK_FILE, record_first_start, recorded_founders
 from tests import core_formation_steps as model
-from tests.core_cluster import CORE_IDS, Cluster
+from tests.core_cluster import Cluster
 from tests.core_formation_exploration import BrokenInvariantError, explore, walk
 from tests.core_formation_world import Budget, World, chosen_roots, first_world, founders_of
+from tests.core_machine import CORE_IDS
 from tests.core_oracle import OperatorChange, Oracle
 
 STATES = 20_000
--- a/tests/test_core_members.py
+++ b/tests/test_core_members.py
@@ -4,8 +4,9 @@
 
 from rooklug.core.quorum import has_quorum, majority, readers_needed
 from rooklug.engine import events as ev
-from tests.core_cluster import CORE_IDS, LATER_IDS, Cluster
+from tests.core_cluster import Cluster
 from tests.core_faults import Replacements, run_seed
+from tests.core_machine import CORE_IDS, LATER_IDS
 from tests.core_oracle import OperatorChange, Oracle
 
 SIX = (*CORE_IDS, *LATER_IDS[:3])
--- a/tests/test_core_replication.py
+++ b/tests/test_core_replication.py
@@ -6,7 +6,8 @@
 
 from rooklug.model import internal_events as internal
 from rooklug.wire.generated.control import ttypes as control
-from tests.core_cluster import CORE_IDS, Cluster, Core
+from tests.core_cluster import Cluster
+from tests.core_machine import CORE_IDS, Core
 
 
 def change_request(
--- a/tests/test_core_scenarios.py
+++ b/tests/test_core_scenarios.py
@@ -12,8 +12,9 @@
 from rooklug.model import internal_events as internal
 from rooklug.wire.generated.control import ttypes as control
 from rooklug.wire.generated.core import ttypes as wire
-from tests.core_cluster import CLIENT, CORE_IDS, Cluster, Core
+from tests.core_cluster import Cluster
 from tests.core_cluster_waits import READ, wait_in_sync
+from tests.core_machine import CLIENT, CORE_IDS, Core
 from tests.core_oracle import OperatorChange, Oracle
 from tests.test_core_replication import call_core, change_request, recorded_events, started_cluster
 
--- a/tests/test_runbook_recover.py
+++ b/tests/test_runbook_recover.py
@@ -13,8 +13,8 @@
 from rooklug.runbooks.runner import Operator, RunbookRunner
 from rooklug.runbooks.site import Site
 from rooklug.wire.generated.control import ttypes as control
-from tests.core_cluster import CORE_IDS
 from tests.core_cluster_waits import http, wait_in_sync
+from tests.core_machine import CORE_IDS
 from tests.test_core_replication import call_core, change_request, started_cluster
 
 RUNBOOK = "recover-cores"
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -21,7 +21,7 @@
 from rooklug.wire.frames import LENGTH_BYTES, decode_payload, payload_length
 from rooklug.wire.generated.core.ttypes import CoreMember, LogEntry, WitnessRecord
 from rooklug.wire.registry import struct_classes
-from tests.core_cluster import ADDRESSES, CORE_IDS, STUB_CHECKER
+from tests.core_machine import ADDRESSES, CORE_IDS, STUB_CHECKER
 from tests.stored_data import (
     CLAIMS_FILE,
     FOLDERS,
