A request without an id is refused at the front

Found in reading once more: a call without an id gets a connection of its own, so a client that leaves the id out would have opened a connection to a replica with each request, which the replica refuses anyway (400, as the users' page says). Such connections count against the replica's limit.

Change: the front answers 400 itself, after the route was found (an unknown route stays 404).

Evidence: test_a_request_without_an_id_is_refused_at_the_front: an HttpCall before, 400 now.

--- a/rooklug/gateway/executor.py
+++ b/rooklug/gateway/executor.py
@@ -150,6 +150,9 @@
         route = configuration.find(request.host, request.path)
         if route is None:
             return self._forwarder.refuse(request, GatewayError.NO_ROUTE)
+        if not request.request_id:
+            # Only the id tells a replica's answer from a late one to an earlier request.
+            return self._forwarder.refuse(request, GatewayError.BAD_REQUEST)
         proxied = self._proxied_request(request, route, now)
         if not self._may_accept(proxied, now):
             return self._forwarder.refuse(request, GatewayError.ENDING, MIN_RETRY_AFTER_S)
--- a/tests/test_gateway_executor.py
+++ b/tests/test_gateway_executor.py
@@ -68,6 +68,13 @@
         (answer,) = self.front.request("/pay/1")
         self.assertEqual(answer.status, 503)
 
+    def test_a_request_without_an_id_is_refused_at_the_front(self):
+        # Such requests went to a replica, which refuses them, on a new connection each.
+        (answer,) = self.front.request(headers={NAMES.request_id: ""})
+        self.assertEqual(answer.status, 400)
+        (answer,) = self.front.request("/nowhere/", headers={NAMES.request_id: ""})
+        self.assertEqual(answer.status, 404)
+
     def test_retry_after_of_a_starting_front_ends_when_it_should_be_ready(self):
         self.front.decision.view = type(self.front.view)()
         started_at = self.front.now
