soak: the same configuration from two operators is one change

The trace: both operators of a race had drawn the same version and the same number of routes, so that the two bodies are equal byte by byte (3253 and 6420 bytes); the users' page wants 200 when exactly that configuration is sent again. The check was wrong, the product right.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -92,6 +92,14 @@
         ledger.changes.append(change(2, 1, 0))
         self.assertIn("invalid_is_refused", judge(ledger))
 
+    def test_the_same_configuration_sent_twice_is_one_change(self):
+        # Two operators drew the same document, and the soak took that for two changes.
+        ledger = sound_ledger()
+        ledger.changes.append(attrs.evolve(ledger.changes[-1]))
+        self.assertEqual(judge(ledger), {})
+        ledger.changes.append(attrs.evolve(ledger.changes[-1], body=b"{}"))
+        self.assertIn("bases_are_taken_once", judge(ledger))
+
     def test_repeatable_requests_may_run_twice(self):
         ledger = sound_ledger()
         ledger.requests[0].path = "/again/1"
