soak: a wrong settings file meets processes that have started

The trace: all cores were killed, core-0 was being started again, and within that half second the event "SIGHUP with nonsensical settings" wrote bounds.grace_s=nonsense into the file that the new process read: "settings: bounds.grace_s: must be a finite number, 0 or above". That a wrong file ends a start with exit code 2 is documented (docs/operations.md); what the soak tests is that a reload ends nothing.

Change: a process that was started less than 8 s ago gets SIGHUP with a valid file; each later one gets nonsense as before. The oracle is as it was.

--- a/rooklug_lab/soak/director.py
+++ b/rooklug_lab/soak/director.py
@@ -22,6 +22,8 @@
 READ_BACK_S = 20.0
 READY_WITHIN_S = 1.0
 ROLL_PAUSE_S = 1.2
+LONGEST_START_S = 8.0
+"""By then a process has read its settings, even if it was frozen or the machine is busy."""
 MISBEHAVIOURS = [conduct for conduct in Conduct if conduct is not Conduct.SOUND]
 
 
@@ -164,7 +166,10 @@
     async def _reload(self, event: Event) -> None:
         process = self._process(event)
         if process.starts:
-            extra = ("", "bounds.grace_s=nonsense\n", "\ud83d")[event.variant % 3]
+            # A start on a wrong file ends with exit code 2, as it should; a reload must not.
+            has_started = self._ledger.now() >= process.started_at + LONGEST_START_S
+            variant = event.variant % 3 if has_started else 0
+            extra = ("", "bounds.grace_s=nonsense\n", "\ud83d")[variant]
             nonsense = extra.encode("utf-8", "surrogatepass").decode("utf-8", "replace")
             self.site.write_settings(process, first_start=False, extra=nonsense)
             process.send(signal.SIGHUP)
--- a/rooklug_lab/soak/site.py
+++ b/rooklug_lab/soak/site.py
@@ -41,7 +41,8 @@
 class Process:
     """One process, which is started again whenever it ends, until the site is stopped.
 
-    ``expected_end`` is set while a signal of the soak is to end it.
+    ``expected_end`` is set while a signal of the soak is to end it; ``started_at`` is in seconds
+    since the soak's start.
     """
 
     name: str
@@ -49,6 +50,7 @@
     ip: str
     zone: str
     starts: int = 0
+    started_at: float = 0.0
     expected_end: bool = False
     handle: asyncio.subprocess.Process | None = None
 
@@ -185,6 +187,7 @@
         first_start = self._first_start and process.starts == 0
         process.starts += 1
         process.expected_end = False
+        process.started_at = self.ledger.now()
         settings = self.write_settings(process, first_start=first_start)
         names = ("PATH", "HOME", "LANG")
         variables = {name: os.environ[name] for name in names if name in os.environ}
