soak: SIGHUP before a process's first line is the soak's own doing

The program ignores SIGHUP in its first line; before that any process ends of it, and no line of ours can prevent it.

Any other exit code is a fault as before, and so is an end by SIGHUP later.

--- a/rooklug_lab/soak/director.py
+++ b/rooklug_lab/soak/director.py
@@ -168,6 +168,7 @@
         if process.starts:
             # A start on a wrong file ends with exit code 2, as it should; a reload must not.
             has_started = self._ledger.now() >= process.started_at + LONGEST_START_S
+            process.may_hang_up = process.may_hang_up or not has_started
             variant = event.variant % 3 if has_started else 0
             extra = ("", "bounds.grace_s=nonsense\n", "\ud83d")[variant]
             nonsense = extra.encode("utf-8", "surrogatepass").decode("utf-8", "replace")
--- a/rooklug_lab/soak/site.py
+++ b/rooklug_lab/soak/site.py
@@ -42,7 +42,8 @@
     """One process, which is started again whenever it ends, until the site is stopped.
 
     ``expected_end`` is set while a signal of the soak is to end it; ``started_at`` is in seconds
-    since the soak's start.
+    since the soak's start. ``may_hang_up`` is set once it got SIGHUP while it may not have run its
+    first line, before which that signal ends any process.
     """
 
     name: str
@@ -51,6 +52,7 @@
     zone: str
     starts: int = 0
     started_at: float = 0.0
+    may_hang_up: bool = False
     expected_end: bool = False
     handle: asyncio.subprocess.Process | None = None
 
@@ -59,6 +61,11 @@
         """Whether the process runs now, frozen or not."""
         return self.handle is not None and self.handle.returncode is None
 
+    def is_ended_by_us(self, exit_code: int) -> bool:
+        """Return whether a signal of the soak has ended the process."""
+        hung_up = self.may_hang_up and exit_code == -signal.SIGHUP
+        return self.expected_end or hung_up
+
     def send(self, number: signal.Signals, *, ends: bool = False) -> bool:
         """Send a signal; ``ends`` says that the process is expected to end of it."""
         if self.handle is None or self.handle.returncode is not None:
@@ -177,8 +184,9 @@
                 process.send(signal.SIGKILL, ends=True)
             code = await process.handle.wait()
             at = self.ledger.now()
-            self.ledger.ends.append(ProcessEnd(process.name, code, at, process.expected_end))
-            if not process.expected_end:
+            by_us = process.is_ended_by_us(code)
+            self.ledger.ends.append(ProcessEnd(process.name, code, at, by_us))
+            if not by_us:
                 self.ledger.note(f"{process.name} ended by itself with exit code {code}")
             if not self._stopping:
                 await asyncio.sleep(RESTART_DELAY_S)
@@ -187,6 +195,7 @@
         first_start = self._first_start and process.starts == 0
         process.starts += 1
         process.expected_end = False
+        process.may_hang_up = False
         process.started_at = self.ledger.now()
         settings = self.write_settings(process, first_start=first_start)
         names = ("PATH", "HOME", "LANG")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,7 +18,7 @@
 from rooklug_lab.soak.oracles import ORACLES, RECOVERY_S, judge
 from rooklug_lab.soak.plan import DISK_GAP_S, Kind, draw_plan
 from rooklug_lab.soak.replicas import HEADERS, expected_body, stream_event
-from rooklug_lab.soak.site import outside
+from rooklug_lab.soak.site import Process, outside
 
 ROOT = Path(__file__).resolve().parent.parent
 SEED = 7
@@ -128,6 +128,17 @@
         self.assertEqual(problem_of(cut, "a", "/stream/1"), "")
 
 
+class Ends(unittest.TestCase):
+    def test_only_a_hang_up_during_the_start_is_excused(self):
+        # SIGHUP ends a process that hasn't run its first line; the soak took that for a fault.
+        process = Process("core-0", "core", "127.0.0.1", "zone")
+        self.assertFalse(process.is_ended_by_us(-signal.SIGHUP))
+        process.may_hang_up = True
+        self.assertTrue(process.is_ended_by_us(-signal.SIGHUP))
+        for code in (0, 1, 2, 70, -signal.SIGSEGV):
+            self.assertFalse(process.is_ended_by_us(code))
+
+
 class Plans(unittest.TestCase):
     def test_the_same_seed_gives_the_same_plan(self):
         self.assertEqual(draw_plan(3, 60.0, 3), draw_plan(3, 60.0, 3))
