--- a/tests/test_gateway_site.py
+++ b/tests/test_gateway_site.py
@@ -40,12 +40,12 @@
 
 
 class BadDays(unittest.TestCase):
-    def check(self, name: str, least_served: float = LEAST_SERVED) -> None:
+    def check(self, name: str) -> None:
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 run = run_gateway_scenario(name, seed)
                 self.assertEqual(run.broken, {})
-                self.assertGreater(run.served_share, least_served)
+                self.assertGreater(run.served_share, LEAST_SERVED)
 
     def test_calm(self) -> None:
         self.check("calm")
@@ -92,7 +92,11 @@
 
     def test_one_zone_is_left_and_turns_cold(self) -> None:
         # The limits of two regions' fronts added up to 18 at a replica that may get 14.
-        self.check("one_zone_is_left_and_turns_cold", LEAST_SERVED_BY_ONE_ZONE)
+        # No subtests: KNOWN-RED.txt names tests.
+        for seed in SEEDS:
+            run = run_gateway_scenario("one_zone_is_left_and_turns_cold", seed)
+            self.assertEqual(run.broken, {}, f"seed {seed}")
+            self.assertGreater(run.served_share, LEAST_SERVED_BY_ONE_ZONE, f"seed {seed}")
 
     def test_random_day(self) -> None:
         self.check("random_day")
