--- a/review/harness-2/machine.py
+++ b/review/harness-2/machine.py
@@ -83,8 +83,14 @@
         """The folder that is the machine's disk."""
         return self.folder / "data"
 
+    @property
+    def is_disk_empty(self) -> bool:
+        """Whether the disk holds no file."""
+        return not self.data_folder.exists() or not any(self.data_folder.iterdir())
+
     def start(self, seeds: list[str], *, first_start: bool) -> None:
         """Start every role of this machine with new settings files."""
+        self.data_folder.mkdir(parents=True, exist_ok=True)
         for role in (CORE, FRONT) if self.has_core else (FRONT,):
             self._start_role(role, seeds, first_start=first_start)
 
@@ -106,9 +112,9 @@
             process.wait()
         if is_disk_lost:
             shutil.rmtree(self.data_folder, ignore_errors=True)
+            self.data_folder.mkdir(parents=True, exist_ok=True)
 
     def _start_role(self, role: str, seeds: list[str], *, first_start: bool) -> None:
-        self.folder.mkdir(parents=True, exist_ok=True)
         settings = self.folder / f"{role}.conf"
         fields = self._settings(role, seeds, first_start=first_start)
         settings.write_text("".join(f"{name}={value}\n" for name, value in fields.items()))
--- a/review/harness-2/small_site.py
+++ b/review/harness-2/small_site.py
@@ -175,7 +175,7 @@
 
     def start_machine(self, machine: Machine, *, first_start: bool = False) -> None:
         """Start the roles of a machine; the seeds are the first three machines."""
-        kind = "" if machine.data_folder.exists() else ", with an empty disk"
+        kind = ", with an empty disk" if machine.is_disk_empty else ""
         self.note(f"machine {machine.name} starts{kind}")
         seeds = [seed.control for seed in self.machines[:3]]
         machine.start(seeds, first_start=first_start)
