Each step of a change on its way to the fronts is logged; the primary names nodes behind

Cause: the incident's record can't tell a front that never heard of a state from one that heard an older one or didn't act on it (docs/incidents/late-front-state.md). No logic changes. Result: tests/test_membership_propagation.py; formatter, linter, mypy clean; nine test modules of membership, distribution, gateway view and platform adapter pass.

--- a/rooklug/distribution/core_link.py
+++ b/rooklug/distribution/core_link.py
@@ -11,6 +11,7 @@
 from rooklug.distribution.core_finder import CoreFinder
 from rooklug.distribution.lease_renewal import LeaseRenewal
 from rooklug.distribution.link_events import PublicationQueued, RenewalRequested
+from rooklug.distribution.link_log import LinkLog
 from rooklug.distribution.link_state import (
     POLL_TIMER,
     PUBLISH_TIMER,
@@ -50,6 +51,7 @@
         self._renewal = LeaseRenewal(self._state, ready=settings.role != _FRONT)
         self._polling = TopicPolling(self._state)
         self._publishing = Publishing(self._state)
+        self._log = LinkLog(self._state)
         self._now = 0.0
 
     # State for other components ----------------------------------------------------------
@@ -147,7 +149,8 @@
     def handle(self, event: ev.Event, now: float) -> list[fx.Effect]:
         """Handle one event, after dropping the grants that have expired by ``now``."""
         self._now = now
-        return [*self._renewal.expire_grants(now), *self._dispatch(event, now)]
+        effects = [*self._renewal.expire_grants(now), *self._dispatch(event, now)]
+        return [*effects, *self._log.changes(now)]
 
     def _dispatch(self, event: ev.Event, now: float) -> list[fx.Effect]:
         if isinstance(event, ev.Started):
--- a/rooklug/gateway/view_builder.py
+++ b/rooklug/gateway/view_builder.py
@@ -20,6 +20,7 @@
     MembersBody,
     PlanBody,
     ReplicasBody,
+    VersionMark,
     ZonesBody,
 )
 
@@ -39,7 +40,7 @@
         self.view = GatewayView()
         self._listed_until: dict[str, float] = {}
         self._restored_until: dict[str, float] = {}
-        self._handlers: dict[str, Callable[[Any, float], list[fx.Effect]]] = {
+        self._handlers: dict[str, Callable[[Any, VersionMark, float], list[fx.Effect]]] = {
             CONFIGURATION: self._apply_configuration,
             ZONES: self._apply_zones,
             MEMBERS: self._apply_members,
@@ -51,18 +52,21 @@
         """Apply the new body of a topic to the view."""
         if not isinstance(event, TopicChanged):
             return []
-        effects = self._handlers[event.topic](event.body, now)
+        effects = self._handlers[event.topic](event.body, event.version, now)
         return [*effects, EmitEvent(ViewChanged(self.view))]
 
-    def _apply_configuration(self, body: ConfigurationBody, now: float) -> list[fx.Effect]:
+    def _apply_configuration(
+        self, body: ConfigurationBody, version: VersionMark, now: float
+    ) -> list[fx.Effect]:
         read = read_gateway_configuration(body.document)
         if read.is_error():
             fields = {"version": body.version, "problems": [p.message for p in read.error[:5]]}
             return [fx.Log("error", "configuration rejected; keeping the previous one", fields)]
         self.view = attrs.evolve(self.view, configuration=read.ok)
-        return [fx.Log("debug", "configuration applied", {"version": body.version})]
+        fields = {"version": body.version, "epoch": version.epoch}
+        return [fx.Log("info", "configuration applied", fields)]
 
-    def _apply_zones(self, body: ZonesBody, now: float) -> list[fx.Effect]:
+    def _apply_zones(self, body: ZonesBody, version: VersionMark, now: float) -> list[fx.Effect]:
         drained = frozenset(body.emptied_zones)
         for zone in self.view.drained_zones - drained:
             self._restored_until[zone] = now + RESTORED_SLOW_START_S
@@ -71,15 +75,20 @@
             for service, found in self.view.replicas.items()
         }
         self.view = attrs.evolve(self.view, drained_zones=drained, replicas=replicas)
-        return []
+        fields = {"zones": sorted(drained), "epoch": version.epoch, "counter": version.counter}
+        return [fx.Log("info", "drained zones applied", fields)]
 
-    def _apply_members(self, body: MembersBody, now: float) -> list[fx.Effect]:
+    def _apply_members(
+        self, body: MembersBody, version: VersionMark, now: float
+    ) -> list[fx.Effect]:
         fronts = tuple(node for node in body.nodes if node.role == FRONT_ROLE)
         machines = {machine_of(address) for address in body.core_addresses or ()}
         self.view = attrs.evolve(self.view, fronts=fronts, core_machines=frozenset(machines))
         return []
 
-    def _apply_replicas(self, body: ReplicasBody, now: float) -> list[fx.Effect]:
+    def _apply_replicas(
+        self, body: ReplicasBody, version: VersionMark, now: float
+    ) -> list[fx.Effect]:
         self._record_slow_starts(body.replicas, now)
         by_service: dict[str, list[GatewayReplica]] = {}
         for listed in body.replicas:
@@ -103,7 +112,7 @@
         restored = self._restored_until.get(replica.zone, 0.0)
         return attrs.evolve(replica, slow_start_until=max(listed, restored))
 
-    def _apply_plan(self, body: PlanBody, now: float) -> list[fx.Effect]:
+    def _apply_plan(self, body: PlanBody, version: VersionMark, now: float) -> list[fx.Effect]:
         self.view = attrs.evolve(self.view, matrix=matrix_of(body.matrix))
         return []
 
--- a/rooklug/membership/membership_component.py
+++ b/rooklug/membership/membership_component.py
@@ -17,11 +17,12 @@
 from rooklug.membership.members_topic import members_body
 from rooklug.membership.membership_state import MembershipState
 from rooklug.membership.primary_tracker import PrimaryTracker
+from rooklug.membership.propagation import WATCHED_TOPICS
 from rooklug.membership.publications import Publications, PublishRejection
 from rooklug.membership.timing import TICK_S
 from rooklug.model import internal_events as internal
 from rooklug.model.settings import CoreSettings
-from rooklug.model.topics import MEMBERS, PLAN, REPLICAS, ZONES
+from rooklug.model.topics import CONFIGURATION, MEMBERS, PLAN, REPLICAS, ZONES
 from rooklug.wire.codec import encode
 from rooklug.wire.generated.control import ttypes
 from rooklug.wire.packing import encode_packed
@@ -103,6 +104,10 @@
         figures = {
             "rooklug_live_nodes": (len(state.leases), "Nodes with a lease at this core"),
             "rooklug_parked_polls": (len(state.polls), "Long polls that wait at this core"),
+            "rooklug_nodes_behind": (
+                self._count_nodes_behind(now),
+                "Live nodes that haven't confirmed the newest configuration or drained zones",
+            ),
             "rooklug_decisions_kept": (len(state.decisions.ring), "Decisions that can be read"),
             "rooklug_acts_as_primary": (
                 int(state.is_active_primary(now)),
@@ -114,6 +119,14 @@
             for name, (value, text) in figures.items()
         ]
 
+    def _count_nodes_behind(self, now: float) -> int:
+        state = self.state
+        if not state.is_active_primary(now):
+            return 0
+        live = state.live_node_ids()
+        behind = [state.propagation.behind(topic, live, now) for topic in WATCHED_TOPICS]
+        return len(set().union(*behind))
+
     # Terms as the primary --------------------------------------------------------------
 
     def _on_primary_started(self, event: internal.PrimaryStarted, now: float) -> list[fx.Effect]:
@@ -124,6 +137,7 @@
         state.leases.start(now)
         state.roles.start(event.epoch, now)
         state.members.start()
+        state.propagation.start(now)
         state.decisions.start(state.roles.announcement_deadline)
         for topic in _BODIES_OF_A_TERM:
             state.store.forget(topic)
@@ -164,6 +178,7 @@
         if not state.is_active_primary(now):
             return effects + state.release_all(now)
         effects += self.leases.expire(now)
+        effects += state.propagation.check(state.live_node_ids(), now)
         effects += state.poll_answers(state.polls.expire(now), now)
         return effects + state.decision_answers(state.decisions.expire(now), now)
 
@@ -173,12 +188,15 @@
         state = self.state
         if not state.is_active_primary(now):
             return state.poll_answers([PollReply(event.call_id, [])], now)
+        state.propagation.record_poll(event.request.node_id, event.request.held)
         return state.poll_answers(state.polls.poll(event.call_id, event.request, now), now)
 
     def _on_configuration_committed(
         self, event: internal.ConfigurationCommitted, now: float
     ) -> list[fx.Effect]:
-        return [*self.configuration.record_committed(event, now), *self.state.wake(now)]
+        self.state.propagation.record_version(CONFIGURATION, event.version, now)
+        log = self._log_committed("configuration committed", event.version, now)
+        return [*log, *self.configuration.record_committed(event, now), *self.state.wake(now)]
 
     def _publish_configuration(self, now: float) -> list[fx.Effect]:
         return [*self.configuration.publish_pending(now), *self.state.wake(now)]
@@ -190,9 +208,21 @@
         state = self.state
         if state.store.offer(ZONES, event.version, encode(event.body)):
             state.drained_zones = frozenset(event.body.emptied_zones)
+        state.propagation.record_version(ZONES, event.version, now)
         if not state.is_active_primary(now):
             return []
-        return state.wake(now) + state.reassign_roles(now)
+        zones = sorted(state.drained_zones)
+        log = self._log_committed("drained zones committed", event.version, now, zones=zones)
+        return log + state.wake(now) + state.reassign_roles(now)
+
+    def _log_committed(
+        self, message: str, version: ttypes.VersionMark, now: float, **fields: Any
+    ) -> list[fx.Effect]:
+        """Return the log line of a commit at the active primary; backups don't log it."""
+        if not self.state.is_active_primary(now):
+            return []
+        fields |= {"epoch": version.epoch, "counter": version.counter}
+        return [fx.Log("info", message, fields)]
 
     def _on_topic_offered(self, event: internal.TopicOffered, now: float) -> list[fx.Effect]:
         """Store and distribute a body that another component of this core has built."""
--- a/rooklug/membership/membership_state.py
+++ b/rooklug/membership/membership_state.py
@@ -8,6 +8,7 @@
 from rooklug.membership.long_poll_registry import LongPollRegistry, PollReply
 from rooklug.membership.members_topic import MembersTopic
 from rooklug.membership.primary_tracker import PrimaryTracker
+from rooklug.membership.propagation import PropagationWatch
 from rooklug.membership.roles import RoleTable
 from rooklug.membership.topic_store import TopicStore
 from rooklug.wire.generated.control import ttypes
@@ -23,6 +24,7 @@
     store: TopicStore = attrs.field(factory=TopicStore)
     members: MembersTopic = attrs.field(factory=MembersTopic)
     decisions: DecisionStream = attrs.field(factory=DecisionStream)
+    propagation: PropagationWatch = attrs.field(factory=PropagationWatch)
     drained_zones: frozenset[str] = frozenset()
     polls: LongPollRegistry = attrs.field(init=False)
 
@@ -33,6 +35,10 @@
         """Return whether this core may answer as the primary at ``now``; see ``PrimaryTracker``."""
         return self.primary.is_active_primary(now)
 
+    def live_node_ids(self) -> list[str]:
+        """Return the ids of all nodes with a lease at this core, sorted."""
+        return [record.node_id for record in self.leases.live_nodes()]
+
     def reassign_roles(self, now: float) -> list[fx.Effect]:
         """Plan the owners of all roles, and request the renewals that roles wait for to move."""
         self.roles.plan(self.leases.live_nodes(), self.drained_zones, now)
--- /dev/null
+++ b/tests/test_membership_propagation.py
@@ -0,0 +1,82 @@
+"""What cores and fronts log about state on its way: who confirmed it, who applied it, from whom."""
+
+import unittest
+
+from rooklug.engine import effects as fx
+from rooklug.engine import events as ev
+from rooklug.gateway.view_builder import GatewayViewBuilder
+from rooklug.membership.propagation import BEHIND_AFTER_S, PropagationWatch
+from rooklug.model.internal_events import TopicChanged
+from rooklug.model.topics import CONFIGURATION, ZONES
+from rooklug.wire.generated.control.ttypes import TopicMark, VersionMark, ZonesBody
+from tests.test_distribution_core_link import CoreLinkTestCase
+
+OLD, NEW = VersionMark(3, 1), VersionMark(3, 2)
+LIVE = ("front-1", "front-2")
+LATE = 10.0 + BEHIND_AFTER_S
+
+
+def marks(version: VersionMark) -> list[TopicMark]:
+    return [TopicMark(CONFIGURATION, version), TopicMark(ZONES, version)]
+
+
+class Watch(unittest.TestCase):
+    def setUp(self) -> None:
+        self.watch = PropagationWatch()
+        self.watch.start(0.0)
+        self.watch.record_version(ZONES, NEW, 10.0)
+        self.watch.record_poll("front-1", marks(NEW))
+        self.watch.record_poll("front-2", marks(OLD))
+
+    def logs(self, now: float, live: tuple[str, ...] = LIVE) -> list[fx.Log]:
+        return [effect for effect in self.watch.check(live, now) if isinstance(effect, fx.Log)]
+
+    def test_a_live_node_whose_last_poll_is_older_is_named_once(self) -> None:
+        self.assertEqual(self.logs(LATE - 0.1), [])
+        (line,) = self.logs(LATE)
+        self.assertEqual((line.level, line.fields["nodes"]), ("warning", ["front-2"]))
+        self.assertEqual((line.fields["topic"], line.fields["counter"]), (ZONES, 2))
+        self.assertEqual(self.logs(LATE + 1.0), [])
+
+    def test_its_next_poll_ends_it(self) -> None:
+        self.logs(LATE)
+        self.watch.record_poll("front-2", marks(NEW))
+        (line,) = self.logs(LATE + 1.0)
+        self.assertEqual((line.level, line.fields["nodes"]), ("info", []))
+
+    def test_a_live_node_that_never_polled_this_primary_is_behind(self) -> None:
+        self.watch.start(20.0)
+        self.watch.record_poll("front-1", marks(NEW))
+        (line,) = self.logs(20.0 + BEHIND_AFTER_S)
+        self.assertEqual(line.fields["nodes"], ["front-2"])
+
+    def test_nodes_without_a_lease_are_not_named(self) -> None:
+        self.assertEqual(self.logs(LATE, live=("front-1",)), [])
+
+
+class FrontLog(unittest.TestCase):
+    def test_applied_zones_are_logged_with_their_version(self) -> None:
+        effects = GatewayViewBuilder().handle(TopicChanged(ZONES, NEW, ZonesBody(["north-a"])), 1.0)
+        lines = [effect for effect in effects if isinstance(effect, fx.Log)]
+        self.assertEqual(
+            [(line.message, line.fields) for line in lines],
+            [("drained zones applied", {"zones": ["north-a"], "epoch": 3, "counter": 2})],
+        )
+
+
+class LinkLog(CoreLinkTestCase):
+    """A node's own account of its link to the core."""
+
+    def messages(self, effects: list[fx.Effect]) -> list[str]:
+        return [effect.message for effect in effects if isinstance(effect, fx.Log)]
+
+    def test_a_node_names_its_primary_and_the_lapse_of_its_lease(self) -> None:
+        call = self.renew(10.0)
+        effects = self.grant(call, 10.1)
+        self.assertEqual(self.messages(effects), ["following the primary", "node lease granted"])
+        line = next(effect for effect in effects if isinstance(effect, fx.Log))
+        self.assertEqual((line.fields["address"], line.fields["epoch"]), (call.address, 3))
+        self.assertEqual(self.messages(self.link.handle(ev.TimerFired("poll"), 12.9)), [])
+        (lapsed,) = self.messages(self.link.handle(ev.TimerFired("poll"), 13.0))
+        self.assertIn("lapsed", lapsed)
+        self.assertEqual(self.messages(self.link.handle(ev.TimerFired("poll"), 14.0)), [])
