A core that is a member already never joins a second time

Cause: a core asks to join every 0.3 s until it hears the primary. A request that arrives while the view that makes it a member is being chosen was kept, is valid for as long as the pause between two changes of members, and was granted when that ended: the view then named the core twice. At a replacement another member had to leave for it. The members topic names its address twice, and a front that asks one core after the other never gets past the repeated address. Change: the primary drops the request of a member when it decides on the next change, and the rule that makes the next view refuses a joiner that is a member.

--- a/rooklug/core/member_changes.py
+++ b/rooklug/core/member_changes.py
@@ -53,6 +53,9 @@
         pending, self._pending_join = self._pending_join, None
         if pending is None or now >= pending.requested_at + JOIN_VALID_S:
             return None
+        if pending.member.core_id in view.member_ids:
+            # It asked again while the view that made it a member was being chosen.
+            return None
         leaver = "" if pending.first_start else self._replaceable(view, required_acks, now)
         if not (pending.first_start or leaver):
             return None
--- a/rooklug/core/witness_rules.py
+++ b/rooklug/core/witness_rules.py
@@ -262,9 +262,12 @@
 ) -> tuple[tuple[CoreMember, ...], tuple[CoreMember, ...]]:
     """Return the members after a change, and those before it (empty if nothing changes).
 
-    A core may join only if it has promised.
+    A core may join only if it has promised, and only if it isn't a member yet: a repeated member
+    would make another one leave, and would count once where majorities count members.
     """
     before = latest.members
+    if change.joiner is not None and change.joiner.core_id in latest.member_ids:
+        return before, ()
     after = [member for member in before if member.core_id != change.leaver]
     if change.joiner is not None:
         if change.joiner.core_id not in voters:
--- a/tests/test_core_members.py
+++ b/tests/test_core_members.py
@@ -2,7 +2,10 @@
 
 import unittest
 
+from rooklug.core.constants import JOIN_INTERVAL_S
 from rooklug.core.quorum import has_quorum, majority, readers_needed
+from rooklug.core.types import CoreMember, MemberDisk, Position, Promise, View
+from rooklug.core.witness_rules import MemberChange, choose_view
 from rooklug.engine import events as ev
 from tests.core_cluster import Cluster
 from tests.core_faults import Replacements, run_seed
@@ -11,6 +14,8 @@
 
 SIX = (*CORE_IDS, *LATER_IDS[:3])
 SEEDS = 12
+BETWEEN_REGIONS_S = (0.02, 0.06)
+"""Least and most delay of a message."""
 
 
 class MembersTestCase(unittest.TestCase):
@@ -67,6 +72,27 @@
         self.change(2)
         self.assertGreaterEqual(len(self.cluster.primary().component.primary.view.in_sync), 3)
 
+    # Guards against fronts stuck at a dead core: the members topic named its address twice.
+    def test_a_member_that_asked_again_while_it_joined_is_not_added_twice(self):
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                self.cluster = Cluster(
+                    seed, core_ids=SIX, min_in_sync_replicas=3, delay=BETWEEN_REGIONS_S
+                )
+                self.start_within(JOIN_INTERVAL_S)
+                self.assertFalse(self.cluster.run(8.0, self.has_repeated_member))
+                self.assertEqual(self.members(), set(SIX))
+
+    def start_within(self, seconds: float) -> None:
+        for core_id in self.cluster.cores:
+            delay_s = self.cluster.random.uniform(0.0, seconds)
+            self.cluster.schedule(delay_s, lambda core_id=core_id: self.cluster.start(core_id))
+
+    def has_repeated_member(self) -> bool:
+        primary = self.cluster.primary()
+        ids = [m.core_id for m in primary.component.primary.view.members] if primary else []
+        return len(ids) != len(set(ids))
+
     def test_a_core_that_is_lost_for_good_is_replaced(self):
         self.begin()
         self.wait_all_in_sync(3.0)
@@ -226,3 +252,12 @@
         old, new = {"a", "b", "c"}, {"a", "b", "d"}
         self.assertFalse(has_quorum({"a", "d"}, [old, new]))
         self.assertTrue(has_quorum({"a", "b"}, [old, new]))
+
+    def test_a_member_that_joins_again_makes_no_other_member_leave(self):
+        disks = [MemberDisk(core_id, f"disk-{core_id}") for core_id in CORE_IDS]
+        members = tuple(CoreMember(core_id, f"{core_id}:7000") for core_id in CORE_IDS)
+        view = View(4, CORE_IDS[0], tuple(disks), members)
+        own, *others = (Promise(disk, view, Position(4, 7)) for disk in disks)
+        again = MemberChange(joiner=members[1], leaver=CORE_IDS[2])
+        chosen = choose_view(7, own, others, change=again)
+        self.assertEqual((chosen.members, chosen.previous), (members, ()))
