A node's search for the primary passes an address that is listed twice

Cause: the next core to ask was the one after the first place of the present address; with an address listed twice in a row that is the address itself, so the search never left it. Change: a node keeps each address once, from the settings and from the members topic. Why this works: with distinct addresses the place after the present one is another core, for as long as there are two. Result: test_an_address_that_is_listed_twice_does_not_end_the_search failed before ({core-b} asked of three), passes now with the module's other tests.

--- a/rooklug/distribution/core_finder.py
+++ b/rooklug/distribution/core_finder.py
@@ -30,12 +30,13 @@
     _redirects: int = 0
 
     def __attrs_post_init__(self) -> None:
+        self.seeds = _distinct(self.seeds)
         self.address = self.seeds[self.random.randrange(len(self.seeds))]
 
     def update_seeds(self, addresses: tuple[str, ...]) -> None:
         """Replace the seeds by the addresses of the present cores, unless none are given."""
         if addresses:
-            self.seeds = addresses
+            self.seeds = _distinct(addresses)
 
     def record_primary_answer(self, address: str) -> None:
         """Confirm the core at ``address`` as the primary, and reset the backoff."""
@@ -77,3 +78,8 @@
         backoff_s = min(INITIAL_BACKOFF_S * BACKOFF_FACTOR**self._failures, limit_s)
         self._failures = min(self._failures + 1, 16)
         return backoff_s * self.random.uniform(0.5, 1.0)
+
+
+def _distinct(addresses: tuple[str, ...]) -> tuple[str, ...]:
+    """Return each address once: the search goes on from the first place of the present one."""
+    return tuple(dict.fromkeys(addresses))
--- a/tests/test_distribution_core_link.py
+++ b/tests/test_distribution_core_link.py
@@ -264,6 +264,17 @@
 
 
 class CoreFinderTest(unittest.TestCase):
+    # Guards against a node that asks a dead core for ever because its address is listed twice.
+    def test_an_address_that_is_listed_twice_does_not_end_the_search(self) -> None:
+        finder = CoreFinder(SEEDS, Random(3))
+        finder.update_seeds((SEEDS[0], SEEDS[1], SEEDS[1], SEEDS[2]))
+        asked = []
+        for _ in range(6):
+            asked.append(finder.address)
+            finder.record_failure(finder.address)
+        self.assertEqual(set(asked), set(SEEDS))
+        self.assertEqual(set(CoreFinder((SEEDS[0], *SEEDS), Random(3)).seeds), set(SEEDS))
+
     def test_finder_tries_all_seeds_and_follows_a_redirect(self) -> None:
         finder = CoreFinder(SEEDS, Random(3))
         tried = set()
