A new core takes the place of the running member of its zone

Cause: a new core stood by until a member had been silent for 1.6 s or said that it was being stopped; until then it had neither a vote nor the log. With one member removed and another failing at once, one vote of three was left, and the successor's time to catch up had been for nothing. Change: a core that was never a member says in its request where it is; cores say in their heartbeats' answers where they are. If no member is gone, the new core takes the place of the only other member of its zone, provided enough disks in sync remain; if that member is the primary, it hands over first, once for each new core. The predecessor stands by, and returns if its successor is lost. A core that was a member before never succeeds a running one, so the two don't alternate. Why this works: when the old machine is removed, the successor votes and is in sync; removing a core that isn't a member changes nothing. Cost: two view changes at the start of a planned replacement, in place of after its end. Wire: two optional fields; the seeded faults of the members now have zones.

--- a/idl/core.thrift
+++ b/idl/core.thrift
@@ -125,6 +125,7 @@
   1: required CoreMember member
   2: required MemberDisk disk
   3: required bool first_start             // one of the cores that the system starts with
+  4: optional string core_zone             // set by a core that was never a member: it may succeed its zone's one
 }
 struct JoinAnswer {
   1: required bool noted                   // the primary will propose it; else ask the address
@@ -188,6 +189,7 @@
   3: required MemberDisk member
   4: required bool voting
   5: optional bool supports                // it has accepted this view durably: counts for the lease
+  6: optional string core_zone             // where this core is
 }
 struct SnapshotPartRequest {
   1: required i64 epoch
--- a/rooklug/core/backup.py
+++ b/rooklug/core/backup.py
@@ -48,12 +48,14 @@
         outbox: Outbox,
         witness: Witness,
         store: ReplicaStore,
+        zone: str,
         on_primary_seen: Callable[[int, str, float], None],
         on_diverged: Callable[[str, float], None],
     ) -> None:
         self._outbox = outbox
         self._witness = witness
         self._store = store
+        self._zone = zone
         self._on_primary_seen = on_primary_seen
         self._on_diverged = on_diverged
         self._incoming: IncomingSnapshot | None = None
@@ -80,6 +82,7 @@
             # After a restart a witness guards only the lease of the accepted view's primary (see
             # ``Witness.load``), so support under any other view doesn't count.
             supports=self._witness.state.accepted_epoch >= request.epoch,
+            core_zone=self._zone,
         )
         self._outbox.answer(call_id, answer)
 
--- a/rooklug/core/call_handlers.py
+++ b/rooklug/core/call_handlers.py
@@ -32,7 +32,9 @@
         serves = self._primary.may_serve(now)
         if serves:
             member = member_from_wire(request.member)
-            self._primary.request_join(member, now, first_start=request.first_start)
+            self._primary.request_join(
+                member, now, first_start=request.first_start, zone=request.core_zone or ""
+            )
         address = self._announcer.primary_address
         self._outbox.answer(call_id, wire.JoinAnswer(noted=serves, primary_address=address))
 
--- a/rooklug/core/control_state_component.py
+++ b/rooklug/core/control_state_component.py
@@ -99,7 +99,12 @@
             self.outbox, self.disk, self._last_position, self.peers, self.group_reports
         )
         self.backup = Backup(
-            self.outbox, self.witness, self.store, self._on_primary_seen, self._on_diverged
+            self.outbox,
+            self.witness,
+            self.store,
+            settings.node.zone,
+            self._on_primary_seen,
+            self._on_diverged,
         )
 
     def _build_leadership(self, settings: CoreSettings) -> None:
@@ -120,6 +125,7 @@
             self.view_changer,
             self._on_committed,
             self._on_stepped_down,
+            settings.node.zone,
             settings.min_in_sync_replicas,
         )
 
@@ -133,7 +139,12 @@
             first_start=settings.first_start,
         )
         self.join_requester = JoinRequester(
-            self.peers, self.outbox, self.witness, self.formation, first_start=settings.first_start
+            self.peers,
+            self.outbox,
+            self.witness,
+            self.formation,
+            zone=settings.node.zone,
+            first_start=settings.first_start,
         )
         self.recovery = Recovery(
             self.peers,
--- a/rooklug/core/follower.py
+++ b/rooklug/core/follower.py
@@ -43,6 +43,8 @@
         When the newest heartbeat was sent that its witness supports.
     transfer
         The snapshot that is being sent to it, if any.
+    zone
+        Where it says that it is, "" until it has answered a heartbeat.
     """
 
     core_id: str
@@ -56,3 +58,4 @@
     last_contact_at: float = 0.0
     supported_at: float = NEVER
     transfer: SnapshotTransfer | None = None
+    zone: str = ""
--- a/rooklug/core/joining.py
+++ b/rooklug/core/joining.py
@@ -24,12 +24,14 @@
         witness: Witness,
         formation: Formation,
         *,
+        zone: str,
         first_start: bool,
     ) -> None:
         self._peers = peers
         self._outbox = outbox
         self._witness = witness
         self._formation = formation
+        self._zone = zone
         self._first_start = first_start
         self._requested_at = 0.0
 
@@ -51,10 +53,12 @@
     def _request(self, address: str, *, follow: bool) -> None:
         own = self._witness.state.own
         member = CoreMember(own.core_id, self._peers.address(own.core_id))
+        never_member = self._witness.state.view is None
         request = wire.JoinRequest(
             member=member_to_wire(member),
             disk=disk_to_wire(own),
-            first_start=self._first_start and self._witness.state.view is None,
+            first_start=self._first_start and never_member,
+            core_zone=self._zone if never_member else None,
         )
 
         def answered(answer: wire.JoinAnswer, now: float) -> None:
--- a/rooklug/core/leadership_lease.py
+++ b/rooklug/core/leadership_lease.py
@@ -103,6 +103,7 @@
             return
         follower = self._replicator.followers[core_id]
         self._replicator.record_contact(follower, disk_from_wire(answer.member), now)
+        follower.zone = answer.core_zone or ""
         if not (answer.ok and answer.voting):
             return
         follower.reachable = True
--- a/rooklug/core/primary.py
+++ b/rooklug/core/primary.py
@@ -40,6 +40,7 @@
         view_changer: ViewChanger,
         on_committed: Callable[[float], None],
         on_stopped: Callable[[float], None],
+        zone: str,
         min_in_sync_replicas: int,
     ) -> None:
         self._min_in_sync_replicas = min_in_sync_replicas
@@ -68,7 +69,7 @@
             self._on_refused,
         )
         self._in_sync_set = InSyncSet(outbox, store, self.replicator)
-        self._member_changes = MemberChanges(self.replicator)
+        self._member_changes = MemberChanges(self.replicator, zone)
         self.view: View | None = None
         self.serving = False
         self._last_sequence_at_start = 0
@@ -158,10 +159,10 @@
         if self.view is not None and self._view_changer.proposal is None:
             self._adjust_members(now)
 
-    def request_join(self, member: CoreMember, now: float, *, first_start: bool) -> None:
+    def request_join(self, member: CoreMember, now: float, *, first_start: bool, zone: str) -> None:
         """Record the request of a core to become a voting member, unless it is one."""
         if member.core_id not in self._peers.members_of(self.view):
-            self._member_changes.request_join(member, now, first_start=first_start)
+            self._member_changes.request_join(member, now, first_start=first_start, zone=zone)
 
     def record_draining(self, core_id: str, now: float) -> None:
         """Record that a core is being stopped on purpose, so that it can be replaced at once."""
@@ -245,7 +246,11 @@
             # The joint view is chosen; the next view ends the votes of the previous members.
             self._change_view(NO_EXCLUSIONS, now)
             return
-        change = self._member_changes.next_change(self._led_view, self._required_acks(), now)
+        required_acks = self._required_acks()
+        if self._member_changes.is_succeeded(self._led_view, required_acks, now):
+            self.hand_over("a new core of its zone takes its place", now)
+            return
+        change = self._member_changes.next_change(self._led_view, required_acks, now)
         if change is not None:
             self._change_members(change, now)
 
--- a/tests/core_cluster.py
+++ b/tests/core_cluster.py
@@ -54,6 +54,7 @@
         self.lost_share = 0.0
         self.delayed_share = 0.0  # share of messages that arrive up to 5 s late, after others
         self.blocked_links: set[tuple[str, str]] = set()
+        self.zones: dict[str, str] = {}  # by core id; all others are in one zone
         self.after_event: Callable[[Core], None] = lambda core: None
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._counter = itertools.count(1)
@@ -89,7 +90,7 @@
         node = NodeSettings(
             node_id=core_id,
             role="core",
-            zone="zone",
+            zone=self.zones.get(core_id, "zone"),
             region="region",
             listen_internal=ADDRESSES[core_id],
             listen_http="",
--- a/tests/core_faults.py
+++ b/tests/core_faults.py
@@ -141,12 +141,13 @@
     """Also replaces machines, unplanned or planned, by new ones at other addresses.
 
     At most one machine is removed at a time, and only while all others are in sync: this is what
-    the system has to tolerate.
+    the system has to tolerate. A new machine is in the zone of the one that it replaces.
     """
 
     def __init__(self, cluster: Cluster, random: Random, mean_s: float = 2.0) -> None:
         super().__init__(cluster, random, mean_s)
         self._names = iter(LATER_IDS)
+        cluster.zones = {core_id: f"zone-{core_id}" for core_id in cluster.cores}
 
     def _power_cut(self, core_id: str) -> None:
         """Replace a machine instead of cutting the power of two."""
@@ -155,6 +156,7 @@
         new_id = next(self._names, "")
         if not new_id:
             return
+        self.cluster.zones[new_id] = self.cluster.zones[core_id]
         if self.random.random() < 0.5:
             self._count("replaced")
             self.cluster.replace(core_id, new_id)
--- a/tests/stored_data.py
+++ b/tests/stored_data.py
@@ -48,7 +48,7 @@
 """Written since the founders form the first view by a view change and record that they do."""
 SAMPLE_NUMBER = 7
 MAX_NESTING_DEPTH = 4
-FIELDS_ADDED_SINCE = frozenset({"founders", "group_is_starting", "reported_epoch"})
+FIELDS_ADDED_SINCE = frozenset({"core_zone", "founders", "group_is_starting", "reported_epoch"})
 """Optional fields that revision a2df920 didn't have: it skips them, and its frames lack them."""
 
 
--- a/tests/test_core_members.py
+++ b/tests/test_core_members.py
@@ -1,6 +1,7 @@
 """The voting members: cores that join, are replaced, or return after they were replaced."""
 
 import unittest
+from itertools import permutations
 
 from rooklug.core.constants import JOIN_INTERVAL_S
 from rooklug.core.quorum import has_quorum, majority, readers_needed
@@ -16,11 +17,14 @@
 SEEDS = 12
 BETWEEN_REGIONS_S = (0.02, 0.06)
 """Least and most delay of a message."""
+CATCH_UP_S = 4.0
+"""What the users' pages give a new core (``catch_up_s``)."""
 
 
 class MembersTestCase(unittest.TestCase):
-    def begin(self, core_ids=CORE_IDS, min_in_sync_replicas=2, seed=1) -> None:
+    def begin(self, core_ids=CORE_IDS, min_in_sync_replicas=2, seed=1, zones=None) -> None:
         self.cluster = Cluster(seed, core_ids=core_ids, min_in_sync_replicas=min_in_sync_replicas)
+        self.cluster.zones = zones or {}
         self.oracle = Oracle(self.cluster)
         self.cluster.start_all()
 
@@ -150,6 +154,54 @@
         self.change(1)
 
 
+class Succession(MembersTestCase):
+    """A new core in the zone of a running member, which is removed once the new one has had time.
+
+    From then on the removed core doesn't count as lost any more (the users' rules), so another
+    one may fail at once.
+    """
+
+    def begin_in_zones(self, seed: int) -> None:
+        self.begin(seed=seed, zones={core_id: f"zone-{core_id}" for core_id in CORE_IDS})
+        self.wait_all_in_sync(3.0)
+        self.change(1)
+
+    def add_successor(self, old: str) -> None:
+        self.cluster.zones["core-d"] = f"zone-{old}"
+        self.cluster.add("core-d")
+        self.cluster.run(self.cluster.now + CATCH_UP_S)
+
+    # Guards against a group without a primary after a planned replacement: fronts serve old state.
+    def test_a_core_fails_right_after_another_was_replaced_as_planned(self):
+        for seed, (old, failing) in enumerate(permutations(CORE_IDS, 2)):
+            with self.subTest(old=old, failing=failing):
+                self.begin_in_zones(seed)
+                self.add_successor(old)
+                self.change(2)
+                self.cluster.remove(old)
+                self.cluster.crash(failing)
+                self.change(3)
+
+    def test_the_predecessor_stands_by_and_returns_if_its_successor_is_lost(self):
+        for seed, old in enumerate(CORE_IDS):
+            with self.subTest(old=old):
+                self.begin_in_zones(seed)
+                self.add_successor(old)
+                rest = set(CORE_IDS) - {old}
+                self.assertEqual(self.members(), rest | {"core-d"})
+                self.cluster.crash("core-d")
+                self.cluster.remove("core-d")
+                self.wait_all_in_sync(5.0)
+                self.assertEqual(self.members(), set(CORE_IDS))
+
+    def test_a_core_of_another_zone_waits_until_a_member_is_gone(self):
+        self.begin_in_zones(1)
+        self.cluster.zones["core-d"] = "zone-new"
+        self.cluster.add("core-d")
+        self.cluster.run(self.cluster.now + CATCH_UP_S)
+        self.assertEqual(self.members(), set(CORE_IDS))
+
+
 class FirstStart(MembersTestCase):
     def test_blank_cores_do_not_form_a_second_cluster(self):
         self.begin()
