gateway simulator: a minute of faults that overlap and last, in which fronts must keep up

Cause: no program of ours judged whether fronts in touch serve under the newest acknowledged state while something else is disturbed; the simulator's oracles for it hold only while nothing at all is, with faults of 4 s at most. Change: rooklug-lab gateway long_day. Cores are killed, frozen, cut off, slowed, stalled, and replaced at new addresses, unplanned or as planned, fronts are disturbed beside them, changes and drains follow each other. Every fault is recorded by machine and link, so that each front is judged at each moment by the users' words for machines in touch, with the longer bound while the core group isn't stable. Cores that join take their own group's names for the seeds.

--- a/rooklug_lab/gateway/journal.py
+++ b/rooklug_lab/gateway/journal.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from rooklug_lab.gateway.contact import ContactRecord
+
 
 @attrs.frozen
 class Run:
@@ -78,9 +80,24 @@
     ended_at: float
 
 
+@attrs.frozen
+class FrontState:
+    """What a front serves under at a moment: the configuration's version and the drained zones."""
+
+    at: float
+    front: str
+    ip: str
+    version: int
+    drained_zones: frozenset[str]
+
+
 @attrs.define
 class Journal:
-    """Everything observed in one run. Times are in seconds of the simulated world's clock."""
+    """Everything observed in one run. Times are in seconds of the simulated world's clock.
+
+    ``front_states`` and ``contact`` are recorded by scenarios that judge how soon fronts learn of
+    a change; without them ``contact`` is None.
+    """
 
     runs: list[Run] = attrs.field(factory=list)
     arrivals: list[Arrival] = attrs.field(factory=list)
@@ -89,6 +106,8 @@
     leaving: list[LeavingReplica] = attrs.field(factory=list)
     disturbances: list[Disturbance] = attrs.field(factory=list)
     read_back: bytes = b""
+    front_states: list[FrontState] = attrs.field(factory=list)
+    contact: ContactRecord | None = None
 
     def is_fault_free(self, at: float, before_s: float) -> bool:
         """Return whether no fault was active in the ``before_s`` seconds up to ``at``."""
--- a/rooklug_lab/gateway/oracles.py
+++ b/rooklug_lab/gateway/oracles.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterator
 
 from rooklug.gateway.retry_budget import RetryBudgetSettings
+from rooklug_lab.gateway.front_state_oracle import fronts_keep_up
 from rooklug_lab.gateway.journal import Journal, Order, Run
 from rooklug_lab.gateway.replicas import complete_stream
 
@@ -251,6 +252,7 @@
         one_change_a_version,
         orders_are_acknowledged,
         newest_is_read_back,
+        fronts_keep_up,
         a_quarter_is_served_again,
     )
 }
--- a/rooklug_lab/gateway/scenarios.py
+++ b/rooklug_lab/gateway/scenarios.py
@@ -13,6 +13,7 @@
 
 from rooklug_lab.gateway.journal import Journal
 from rooklug_lab.gateway.large_days import LARGE_DAYS
+from rooklug_lab.gateway.long_day import LONG_DAY_S, long_day
 from rooklug_lab.gateway.oracles import judge
 from rooklug_lab.gateway.random_day import random_day
 from rooklug_lab.gateway.replicas import Conduct
@@ -245,6 +246,7 @@
         one_zone_is_left_and_turns_cold,
         fronts_miss_an_evacuation,
         random_day,
+        long_day,
         *LARGE_DAYS,
     )
 }
@@ -253,6 +255,8 @@
 """Scenarios whose deployment is randomized as well."""
 WIDE = frozenset({region_is_lost.__name__, control_falls_apart.__name__})
 """Scenarios that need a deployment which tolerates the loss of a region."""
+LONG = frozenset({long_day.__name__})
+"""Scenarios of ``LONG_DAY_S``; odd seeds have the fixed deployment, even ones a randomized one."""
 LARGE = frozenset(day.__name__ for day in LARGE_DAYS)
 """Scenarios that run on a deployment of two hundred machines."""
 
@@ -272,7 +276,7 @@
     site.start()
     site.world.run_for(WARM_UP_S)
     SCENARIOS[name](site, Random(seed))
-    site.world.run_for(FAULTS_S)
+    site.world.run_for(LONG_DAY_S if name in LONG else FAULTS_S)
     site.world.run_for(SETTLE_S)
     site.read_back()
     attempts = [a for a in site.journal.attempts if a.ended_at]
@@ -281,7 +285,7 @@
 
 
 def _shape_for(name: str, seed: int) -> SiteShape:
-    if name in RANDOM_SCENARIOS:
+    if name in RANDOM_SCENARIOS or (name in LONG and seed % 2 == 0):
         return drawn_shape(Random(seed))
     if name in LARGE:
         return LARGE_SHAPE
--- a/rooklug_lab/gateway/site.py
+++ b/rooklug_lab/gateway/site.py
@@ -239,17 +239,30 @@
 
         Returns the name of the successor, which starts after ``after_s``.
         """
-        place = self.cores.index(name)
         self.world.machine_fails(self.process(name))
         self._record_fault("replace", after_s)
+        successor = self._add_successor(name)
+        self.later(after_s, lambda: self.process(successor).start())
+        return successor
+
+    def replace_core_as_planned(self, name: str, after_s: float) -> str:
+        """Start a core's successor now, and remove the core without notice after ``after_s``."""
+        successor = self._add_successor(name)
+        self.process(successor).start()
+        self.later(after_s, lambda: self.world.machine_fails(self.process(name)))
+        return successor
+
+    def _add_successor(self, name: str) -> str:
+        """Add a core in the place of another, at a new address, and return its name."""
+        place = self.cores.index(name)
+        zone = self.shape.core_zones[place]
+        earlier = name.count("-new")
+        network = 7 if not earlier else 70 + earlier
         successor = f"{name}-new"
         self.cores[place] = successor
-        self._core_ips[place] = (
-            f"10.{self._zone_numbers[self.shape.core_zones[place]]}.7.{place + 1}"
-        )
-        self._add_core(place, self.shape.core_zones[place])
+        self._core_ips[place] = f"10.{self._zone_numbers[zone]}.{network}.{place + 1}"
+        self._add_core(place, zone)
         self.process("operator").reducer.cores = self._operator_addresses()
-        self.later(after_s, lambda: self.process(successor).start())
         return successor
 
     def stall_disk(self, name: str, for_s: float) -> None:
@@ -321,7 +334,7 @@
 
     def _add_core(self, place: int, zone: str) -> None:
         seeds = self._seeds()
-        members = dict(zip(_core_names(self.shape)[:SEEDS], seeds, strict=True))
+        members = dict(zip(self.cores[:SEEDS], seeds, strict=True))
         region = self.shape.zones[zone]
         ip = self._core_ip(place)
         core = _node(self.cores[place], "core", zone, region, ip, "8002", seeds)
