A primary that hands over to be succeeded leaves the election to the others

Cause: the primary handed over so that the next one could replace it, and was elected again 0.4 s later, since it waited no longer than after any other hand-over; it handed over once for each new core, so the successor never got a vote. Change: such a primary stands back from the election for 2 s, and may hand over again after 5 s.

--- a/rooklug/core/constants.py
+++ b/rooklug/core/constants.py
@@ -64,6 +64,10 @@
 """A joining core may replace a member that has had no contact for this long."""
 DRAINING_VALID_S = 10.0
 """How long a member that announced its stop may be replaced without waiting."""
+STAND_BACK_S = 2.0
+"""How long a primary that handed over to be succeeded leaves the election to the others."""
+SUCCESSION_PAUSE_S = 5.0
+"""The least time between two such hand-overs of one core, which may be elected again."""
 JOIN_INTERVAL_S = 0.3
 """Interval between the requests of a core that wants to join."""
 JOIN_VALID_S = 1.0
--- a/rooklug/core/control_state_component.py
+++ b/rooklug/core/control_state_component.py
@@ -289,6 +289,8 @@
 
     def _is_candidate(self, now: float) -> bool:
         leads = self.primary.view is not None
+        if now < self.primary.stands_back_until:
+            return False
         if leads or self.view_changer.proposal is not None or self._stopping:
             return False
         return self.candidacy.is_due(now)
--- a/rooklug/core/member_changes.py
+++ b/rooklug/core/member_changes.py
@@ -7,6 +7,7 @@
     JOIN_VALID_S,
     REJOIN_BACKOFF_S,
     REPLACE_AFTER_S,
+    SUCCESSION_PAUSE_S,
 )
 from rooklug.core.follower import NEVER, Follower
 from rooklug.core.replicator import Replicator
@@ -43,7 +44,7 @@
         self._pending_join: PendingJoin | None = None
         self._next_change_at = 0.0
         self._draining_since: dict[str, float] = {}
-        self._handed_over_to: set[str] = set()
+        self._next_succession_at = 0.0
 
     def request_join(self, member: CoreMember, now: float, *, first_start: bool, zone: str) -> None:
         """Record a core's request, in the place of an earlier one of any core."""
@@ -54,7 +55,7 @@
         self._draining_since[core_id] = now
 
     def is_succeeded(self, view: View, required_acks: int, now: float) -> bool:
-        """Return whether this core should hand over to be succeeded, once for each new core.
+        """Return whether this core should hand over now to be succeeded.
 
         A primary can't propose a view without itself: the next primary does.
         """
@@ -64,9 +65,9 @@
         if pending.zone != self._own_zone or self._others_in(pending.zone, view):
             return False
         others_in_sync = len(view.in_sync) - 1
-        if others_in_sync < required_acks or pending.member.core_id in self._handed_over_to:
+        if others_in_sync < required_acks or now < self._next_succession_at:
             return False
-        self._handed_over_to.add(pending.member.core_id)
+        self._next_succession_at = now + SUCCESSION_PAUSE_S
         return True
 
     def next_change(self, view: View, required_acks: int, now: float) -> MemberChange | None:
--- a/rooklug/core/primary.py
+++ b/rooklug/core/primary.py
@@ -6,7 +6,12 @@
 
 from collections.abc import Callable
 
-from rooklug.core.constants import MESSAGE_DEADLINE_S, PRIMARY_PROMISE_GRACE_S
+from rooklug.core.constants import (
+    MESSAGE_DEADLINE_S,
+    PRIMARY_PROMISE_GRACE_S,
+    STAND_BACK_S,
+)
+from rooklug.core.follower import NEVER
 from rooklug.core.in_sync_set import NO_EXCLUSIONS, InSyncSet
 from rooklug.core.leadership_lease import LeadershipLease
 from rooklug.core.member_changes import MemberChanges
@@ -27,7 +32,8 @@
     """Leads while ``view`` is set, but may act only while its lease is valid too.
 
     ``serving`` is set once all entries that the log had at the start of the term are committed,
-    so that reads and leases may be answered. ``on_committed(now)`` is called after each advance
+    so that reads and leases may be answered. Before ``stands_back_until`` (monotonic seconds) this
+    core leaves the election to the others. ``on_committed(now)`` is called after each advance
     of the commit position, ``on_stopped(now)`` at the end of the term.
     """
 
@@ -72,6 +78,7 @@
         self._member_changes = MemberChanges(self.replicator, zone)
         self.view: View | None = None
         self.serving = False
+        self.stands_back_until = NEVER
         self._last_sequence_at_start = 0
 
     # State for other modules ----------------------------------------------
@@ -248,6 +255,8 @@
             return
         required_acks = self._required_acks()
         if self._member_changes.is_succeeded(self._led_view, required_acks, now):
+            # Else it could be elected again before another core, and nobody would replace it.
+            self.stands_back_until = now + STAND_BACK_S
             self.hand_over("a new core of its zone takes its place", now)
             return
         change = self._member_changes.next_change(self._led_view, required_acks, now)
--- a/tests/test_core_members.py
+++ b/tests/test_core_members.py
@@ -182,6 +182,15 @@
                 self.cluster.crash(failing)
                 self.change(3)
 
+    # Guards against a successor that never votes, since its predecessor was elected again.
+    def test_the_primary_itself_is_succeeded(self):
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                self.begin_in_zones(seed)
+                old = self.cluster.primary().core_id
+                self.add_successor(old)
+                self.assertEqual(self.members(), (set(CORE_IDS) - {old}) | {"core-d"})
+
     def test_the_predecessor_stands_by_and_returns_if_its_successor_is_lost(self):
         for seed, old in enumerate(CORE_IDS):
             with self.subTest(old=old):
