--- a/tests/test_gateway_directory.py
+++ b/tests/test_gateway_directory.py
@@ -17,9 +17,12 @@
 from rooklug.gateway.view_builder import GatewayViewBuilder
 from rooklug.wire.generated.control.ttypes import (
     ConfigurationBody,
+    VersionMark,
 )
 from tests.gateway_support import document, front, route_item
 
+VERSION = VersionMark(3, 1)
+
 
 class _FakeCoreLink:
     """Replaces the core link; ignores readiness reports."""
@@ -50,7 +53,7 @@
     def be_ready(self, routes=None, **view):
         routes = routes or [route_item("a", "/a/", home_regions=["south"])]
         read = json.dumps(document(routes)).encode()
-        self.view_builder._apply_configuration(ConfigurationBody(1, "", read), 0.0)
+        self.view_builder._apply_configuration(ConfigurationBody(1, "", read), VERSION, 0.0)
         known = GatewayView(
             configuration=self.view_builder.view.configuration, has_replica_list=True, **view
         )
