--- a/rooklug/core/candidacy.py
+++ b/rooklug/core/candidacy.py
@@ -50,9 +50,9 @@
         """Stop resuming: some primary is active."""
         self._may_resume_until = NEVER
 
-    def on_stepped_down(self, now: float) -> None:
-        """Wait ``ELECTION_RETRY_S`` after losing leadership, so that others can propose first."""
-        self._not_before = now + ELECTION_RETRY_S
+    def on_stepped_down(self, now: float, stand_back_s: float) -> None:
+        """Wait ``stand_back_s`` after losing leadership, so that others can propose first."""
+        self._not_before = now + stand_back_s
 
     def on_proposal_failed(self, now: float) -> None:
         """Back off before the next proposal, with new jitter."""
--- a/rooklug/core/constants.py
+++ b/rooklug/core/constants.py
@@ -34,6 +34,8 @@
 """Upper bound of the random delay before the first candidacy."""
 ELECTION_RETRY_S = 0.3
 """Delay before the next candidacy, after a failed proposal or lost leadership."""
+STAND_BACK_S = 2.0
+"""The same for a primary that handed over to be succeeded: another core has to lead first."""
 RESUME_RETRY_INTERVAL_S = 0.1
 """Interval between the proposals of a restarted primary."""
 RESUME_WINDOW_S = 3.0
@@ -64,10 +66,8 @@
 """A joining core may replace a member that has had no contact for this long."""
 DRAINING_VALID_S = 10.0
 """How long a member that announced its stop may be replaced without waiting."""
-STAND_BACK_S = 2.0
-"""How long a primary that handed over to be succeeded leaves the election to the others."""
 SUCCESSION_PAUSE_S = 5.0
-"""The least time between two such hand-overs of one core, which may be elected again."""
+"""The least time between two hand-overs of a primary to be succeeded; it may be elected again."""
 JOIN_INTERVAL_S = 0.3
 """Interval between the requests of a core that wants to join."""
 JOIN_VALID_S = 1.0
--- a/rooklug/core/control_state_component.py
+++ b/rooklug/core/control_state_component.py
@@ -289,8 +289,6 @@
 
     def _is_candidate(self, now: float) -> bool:
         leads = self.primary.view is not None
-        if now < self.primary.stands_back_until:
-            return False
         if leads or self.view_changer.proposal is not None or self._stopping:
             return False
         return self.candidacy.is_due(now)
@@ -324,9 +322,9 @@
         self.changes.on_committed(now)
         self.changes.append_ready(now)
 
-    def _on_stepped_down(self, now: float) -> None:
+    def _on_stepped_down(self, now: float, stand_back_s: float) -> None:
         self.changes.on_stepped_down(now)
-        self.candidacy.on_stepped_down(now)
+        self.candidacy.on_stepped_down(now, stand_back_s)
         self.announcer.announce_primary(self.announcer.primary_epoch, "", "")
 
     # Failures -------------------------------------------------------------
--- a/rooklug/core/primary.py
+++ b/rooklug/core/primary.py
@@ -7,11 +7,11 @@
 from collections.abc import Callable
 
 from rooklug.core.constants import (
+    ELECTION_RETRY_S,
     MESSAGE_DEADLINE_S,
     PRIMARY_PROMISE_GRACE_S,
     STAND_BACK_S,
 )
-from rooklug.core.follower import NEVER
 from rooklug.core.in_sync_set import NO_EXCLUSIONS, InSyncSet
 from rooklug.core.leadership_lease import LeadershipLease
 from rooklug.core.member_changes import MemberChanges
@@ -32,9 +32,8 @@
     """Leads while ``view`` is set, but may act only while its lease is valid too.
 
     ``serving`` is set once all entries that the log had at the start of the term are committed,
-    so that reads and leases may be answered. Before ``stands_back_until`` (monotonic seconds) this
-    core leaves the election to the others. ``on_committed(now)`` is called after each advance
-    of the commit position, ``on_stopped(now)`` at the end of the term.
+    so that reads and leases may be answered. ``on_committed(now)`` is called after each advance
+    of the commit position, ``on_stopped(now, stand_back_s)`` at the end of the term.
     """
 
     def __init__(
@@ -45,7 +44,7 @@
         store: ReplicaStore,
         view_changer: ViewChanger,
         on_committed: Callable[[float], None],
-        on_stopped: Callable[[float], None],
+        on_stopped: Callable[[float, float], None],
         zone: str,
         min_in_sync_replicas: int,
     ) -> None:
@@ -78,7 +77,6 @@
         self._member_changes = MemberChanges(self.replicator, zone)
         self.view: View | None = None
         self.serving = False
-        self.stands_back_until = NEVER
         self._last_sequence_at_start = 0
 
     # State for other modules ----------------------------------------------
@@ -123,8 +121,11 @@
         self._advance_commit(now)
         self.tick(now)
 
-    def step_down(self, reason: str, now: float) -> None:
-        """Stop leading, and allow this core's witness to support another primary at once."""
+    def step_down(self, reason: str, now: float, stand_back_s: float = ELECTION_RETRY_S) -> None:
+        """Stop leading, and allow this core's witness to support another primary at once.
+
+        For ``stand_back_s`` this core leaves the election to the others.
+        """
         if self.view is None:
             return
         epoch, served = self.epoch, self.serving
@@ -139,15 +140,15 @@
         self._outbox.log("warning", "lost leadership", epoch=epoch, reason=reason)
         if served:
             self._outbox.emit(PrimaryStopped(reason))
-        self._on_stopped(now)
+        self._on_stopped(now, stand_back_s)
 
-    def hand_over(self, reason: str, now: float) -> None:
+    def hand_over(self, reason: str, now: float, stand_back_s: float = ELECTION_RETRY_S) -> None:
         """Step down, and allow the others to elect a successor before the lease has expired."""
         if self.view is None:
             return
         own = self._witness.state.own
         request = wire.HandOverRequest(epoch=self.epoch, primary=disk_to_wire(own))
-        self.step_down(reason, now)
+        self.step_down(reason, now, stand_back_s)
         for core_id in self._peers.others:
             address = self._peers.address(core_id)
             self._outbox.call(address, request, MESSAGE_DEADLINE_S, lambda answer, now: None)
@@ -255,9 +256,8 @@
             return
         required_acks = self._required_acks()
         if self._member_changes.is_succeeded(self._led_view, required_acks, now):
-            # Else it could be elected again before another core, and nobody would replace it.
-            self.stands_back_until = now + STAND_BACK_S
-            self.hand_over("a new core of its zone takes its place", now)
+            # Elected again before another core, it would have to hand over again.
+            self.hand_over("a new core of its zone takes its place", now, STAND_BACK_S)
             return
         change = self._member_changes.next_change(self._led_view, required_acks, now)
         if change is not None:
--- a/rooklug/distribution/link_log.py
+++ b/rooklug/distribution/link_log.py
@@ -12,7 +12,8 @@
     """Compares the link with what was logged last; logs each change once."""
 
     state: LinkState
-    _primary: tuple[str, int] = ("", 0)
+    _primary_address: str = ""
+    _epoch: int = 0
     _lease_valid: bool = False
 
     def changes(self, now: float) -> list[fx.Effect]:
@@ -21,10 +22,11 @@
 
     def _primary_change(self) -> list[fx.Effect]:
         finder, epoch = self.state.finder, self.state.lease.epoch
-        followed = (finder.address, epoch)
-        if not finder.confirmed or not epoch or followed == self._primary:
+        known = finder.address == self._primary_address and epoch == self._epoch
+        if known or not finder.confirmed or not epoch:
             return []
-        self._primary = followed
+        self._primary_address = finder.address
+        self._epoch = epoch
         fields = {"address": finder.address, "epoch": epoch, "seeds": list(finder.seeds)}
         return [fx.Log("info", "following the primary", fields)]
 
--- a/rooklug/membership/propagation.py
+++ b/rooklug/membership/propagation.py
@@ -15,7 +15,7 @@
 from rooklug.wire.generated.control.ttypes import TopicMark, VersionMark
 
 BEHIND_AFTER_S = 2.0
-"""Age from which every live node should have named a version; the users allow 2.5 s."""
+"""Age from which every live node should have named a version."""
 WATCHED_TOPICS = (CONFIGURATION, ZONES)
 MAX_LOGGED_NODES = 20
 
--- a/tests/membership_world.py
+++ b/tests/membership_world.py
@@ -132,6 +132,7 @@
         self.committed: internal.ConfigurationCommitted | None = None
         self.zones: internal.ZonesCommitted | None = None
         self.bytes_answered = 0
+        self.logs: dict[str, list[fx.Log]] = {}
         self._primary_lease_until = 0.0
         self._tokens: dict[str, ttypes.VersionMark] = {}
         self._queue: list[tuple] = []
@@ -230,6 +231,8 @@
             self._send(process, effect)
         elif isinstance(effect, fx.Answer):
             self._answer(process, effect)
+        elif isinstance(effect, fx.Log):
+            self.logs.setdefault(process.name, []).append(effect)
         elif isinstance(effect, fx.Compute):
             done = ev.Computed(effect.ticket, effect.function(effect.argument))
             self.at(self._delay(), lambda: self.deliver(process, done))
--- a/tests/test_membership_propagation.py
+++ b/tests/test_membership_propagation.py
@@ -6,9 +6,11 @@
 from rooklug.engine import events as ev
 from rooklug.gateway.view_builder import GatewayViewBuilder
 from rooklug.membership.propagation import BEHIND_AFTER_S, PropagationWatch
+from rooklug.membership.timing import TICK_S
 from rooklug.model.internal_events import TopicChanged
 from rooklug.model.topics import CONFIGURATION, ZONES
 from rooklug.wire.generated.control.ttypes import TopicMark, VersionMark, ZonesBody
+from tests.membership_world import World
 from tests.test_distribution_core_link import CoreLinkTestCase
 
 OLD, NEW = VersionMark(3, 1), VersionMark(3, 2)
@@ -54,6 +56,29 @@
         self.assertEqual(self.logs(LATE, live=("front-1",)), [])
 
 
+class CoreLog(unittest.TestCase):
+    """A core's account of its commits, and of the nodes that don't confirm them."""
+
+    def test_the_primary_logs_a_commit_and_the_live_nodes_that_are_behind(self) -> None:
+        world = World(1)
+        world.add_fleet()
+        world.run(8.0)
+        world.drain_zones("zone-a")
+        world.partitioned = {"front-0"}
+        world.run(BEHIND_AFTER_S + TICK_S)
+        lines = world.logs[world.primary]
+        committed = [line.fields for line in lines if line.message == "drained zones committed"]
+        self.assertEqual(committed, [{"zones": ["zone-a"], "epoch": world.epoch, "counter": 1}])
+        behind = [line.fields["nodes"] for line in lines if line.level == "warning"]
+        self.assertEqual(behind, [["front-0"]])
+        self.assertEqual(self.nodes_behind(world), 1.0)
+
+    def nodes_behind(self, world: World) -> float:
+        process = world.processes[world.primary]
+        samples = process.reducer.metrics(world.now(process))
+        return next(s.value for s in samples if s.name == "rooklug_nodes_behind")
+
+
 class FrontLog(unittest.TestCase):
     def test_applied_zones_are_logged_with_their_version(self) -> None:
         effects = GatewayViewBuilder().handle(TopicChanged(ZONES, NEW, ZonesBody(["north-a"])), 1.0)
