gateway simulator: the faults of a site stand apart from its build and orders; tests of the log lines

Change: SiteFaults (site_faults.py) disturbs processes, links, disks and replicas, GatewaySite builds and orders; tests for the watch of configurations, a new primary's patience, and the line of an applied configuration.

--- a/rooklug_lab/gateway/site.py
+++ b/rooklug_lab/gateway/site.py
@@ -1,8 +1,7 @@
-"""A gateway deployment in the simulated world, and the faults that can be injected into it."""
+"""A gateway deployment in the simulated world, with its clients and its operator."""
 
 import json
 from collections.abc import Callable, Iterable
-from random import Random
 
 import attrs
 
@@ -10,16 +9,17 @@
 from rooklug.gateway.replica_rate_limiter import SlowStartBound
 from rooklug.model.settings import CoreSettings, NodeSettings
 from rooklug_lab.gateway.clients import ClientStandIn, OperatorStandIn
-from rooklug_lab.gateway.journal import Disturbance, Journal, Order
+from rooklug_lab.gateway.journal import Order
 from rooklug_lab.gateway.oracles import (
     COLD_OVERSHOOT,
     COLD_SLACK,
     RETRY_BUDGET,
 )
 from rooklug_lab.gateway.protocols import client_protocol, operator_protocol
-from rooklug_lab.gateway.replicas import Conduct, PlatformStandIn, ReplicaEntry, ReplicaStandIn
+from rooklug_lab.gateway.replicas import PlatformStandIn, ReplicaEntry, ReplicaStandIn
 from rooklug_lab.gateway.shape import FIXED_SHAPE, SiteShape
 from rooklug_lab.gateway.site_document import site_document
+from rooklug_lab.gateway.site_faults import SiteFaults
 from rooklug_lab.sim.network import Place
 from rooklug_lab.sim.process import SimulatedProcess
 from rooklug_lab.sim.world import World
@@ -27,16 +27,13 @@
 SEEDS = 3
 """Number of cores that form the first membership view; the others join it."""
 MODEL_COLD_S = 3.0
-SLOW_EVENT_S = 0.004
-"""Time per event on a slow machine: about ten times what an event costs a front."""
 LIST_ADDRESS = "10.200.0.1:80"
 
 
-class GatewaySite:
+class GatewaySite(SiteFaults):
     """A deployment of cores, fronts and replicas, with clients per region and an operator.
 
-    The replicas serve two services, "model" and "ledger". Methods that inject a fault for
-    ``for_s`` seconds schedule its end themselves.
+    The replicas serve two services, "model" and "ledger".
     """
 
     def __init__(
@@ -45,13 +42,10 @@
         shape: SiteShape = FIXED_SHAPE,
         limits: GatewayLimits | None = None,
     ) -> None:
+        super().__init__(World(seed, shape.region_delay_s))
         self.shape = shape
-        self.world = World(seed, shape.region_delay_s)
-        self.journal = Journal()
-        self.replicas: list[ReplicaEntry] = []
         self.cores = _core_names(shape)
         self._core_ips: dict[int, str] = {}
-        self.fronts: list[str] = []
         self._limits = limits or GatewayLimits(
             slow_start_bound=SlowStartBound(COLD_OVERSHOOT, COLD_SLACK), retry_budget=RETRY_BUDGET
         )
@@ -74,10 +68,6 @@
         self._first_start = False
         self.change(["s", "once"])
 
-    def later(self, delay_s: float, action: Callable[[], object]) -> None:
-        """Schedule an action ``delay_s`` seconds from now in virtual time."""
-        self.world.scheduler.after(delay_s, action)
-
     # Orders ---------------------------------------------------------------
 
     def change(self, routes: Iterable[str] = (), version_step: int = 1) -> Order:
@@ -130,99 +120,6 @@
 
         return next((name for name in self.cores if serves(name)), self.cores[0])
 
-    def process(self, name: str) -> SimulatedProcess:
-        """Return a process by name."""
-        return self.world.processes[name]
-
-    def nodes_in(self, place: str) -> list[str]:
-        """Return the cores and fronts of a zone or of a region."""
-        nodes = [*self.cores, *self.fronts]
-        return [name for name in nodes if self._is_in(place, self.process(name).place)]
-
-    def core_halves(self, random: Random) -> tuple[list[str], list[str]]:
-        """Split the cores at random; of an odd number the second half gets one more."""
-        half = random.sample(self.cores, len(self.cores) // 2)
-        return half, [name for name in self.cores if name not in half]
-
-    def kill(self, names: Iterable[str], for_s: float, power: bool = False, wipe: bool = False):
-        """Kill processes, or their machines with ``power``; they restart after ``for_s``.
-
-        With ``wipe`` their disks are lost, and they restart on empty ones.
-        """
-        names = list(names)
-        for name in names:
-            process = self.process(name)
-            (self.world.machine_fails if power else self.world.kill)(process)
-            if wipe and process.disk is not None:
-                process.disk.lose()
-        self._record_fault("kill", for_s)
-        self.later(for_s, lambda: [self._restart(name) for name in names])
-
-    def lose_region(self, region: str, for_s: float) -> None:
-        """Power off all machines and replicas of a region; they restart after ``for_s``."""
-        self.kill(self.nodes_in(region), for_s, power=True)
-        for entry in self.replicas:
-            if entry.region == region:
-                self.crash_replica(entry, for_s, dark=True)
-
-    def crash_replica(self, entry: ReplicaEntry, for_s: float, dark: bool = False) -> None:
-        """Kill a replica, or with ``dark`` its machine; it restarts cold under a new id."""
-        (self.world.machine_fails if dark else self.world.kill)(entry.process)
-        self.later(for_s, lambda: self._restart_replica(entry))
-
-    def misbehave(self, entry: ReplicaEntry, conduct: Conduct, for_s: float) -> None:
-        """Let a replica stay listed as healthy while it treats requests as ``conduct`` says."""
-        entry.conduct = conduct
-        self.later(for_s, lambda: setattr(entry, "conduct", Conduct.SOUND))
-
-    def drain(self, entry: ReplicaEntry, after_s: float = 6.0, for_s: float = 1.0) -> None:
-        """Mark a replica as leaving, and kill it after ``after_s``; it restarts cold."""
-        entry.leaving = True
-        self.later(after_s, lambda: self.crash_replica(entry, for_s))
-
-    def turn_cold(self, zone: str) -> None:
-        """Let the replicas of a zone become cold without a restart."""
-        for entry in self.replicas:
-            if entry.zone == zone:
-                entry.turn_cold(self.world.now)
-
-    def isolate(self, names: Iterable[str], for_s: float, outbound: bool = True) -> None:
-        """Partition machines from all others; without ``outbound``, drop only inbound packets."""
-        inside = [self.process(name).place for name in names]
-        ips = {place.ip for place in inside}
-        outside = [p.place for p in self.world.processes.values() if p.place.ip not in ips]
-        network = self.world.network
-        network.cut(outside, inside)
-        self.later(for_s, lambda: network.heal(outside, inside))
-        if outbound:
-            network.cut(inside, outside)
-            self.later(for_s, lambda: network.heal(inside, outside))
-        self._record_fault("cut", for_s)
-
-    def isolate_zone(self, zone: str, for_s: float) -> None:
-        """Partition a zone's cores, fronts and replicas from others; clients still reach them."""
-        names = [*self.cores, *self.fronts, *(entry.name for entry in self.replicas)]
-        inside = [name for name in names if self._is_in(zone, self.process(name).place)]
-        self.partition(inside, [name for name in names if name not in inside], for_s)
-
-    def partition(self, some: Iterable[str], others: Iterable[str], for_s: float) -> None:
-        """Partition two sets of processes from each other; all others still reach both."""
-        side = [self.process(name).place for name in some]
-        other_side = [self.process(name).place for name in others]
-        network = self.world.network
-        for source, target in ((side, other_side), (other_side, side)):
-            network.cut(source, target)
-            self.later(for_s, lambda s=source, t=target: network.heal(s, t))
-        self._record_fault("cut", for_s)
-
-    def slow(self, names: Iterable[str], for_s: float) -> None:
-        """Let machines take ``SLOW_EVENT_S`` for each event of their processes."""
-        slowed = [self.process(name) for name in names]
-        for process in slowed:
-            process.event_s = SLOW_EVENT_S
-        self.later(for_s, lambda: [setattr(process, "event_s", 0.0) for process in slowed])
-        self._record_fault("slow", for_s)
-
     def add_machines(self, zone: str, count: int) -> list[str]:
         """Add machines to a zone, start their fronts, and return the names of these fronts."""
         number, region = self._zone_numbers[zone], self.shape.zones[zone]
@@ -265,16 +162,6 @@
         self.process("operator").reducer.cores = self._operator_addresses()
         return successor
 
-    def stall_disk(self, name: str, for_s: float) -> None:
-        """Stall a process's disk: no write finishes for ``for_s`` seconds."""
-        self.process(name).disk.stalled_until = self.world.now + for_s
-        self._record_fault("stall", for_s)
-
-    def jump_clocks(self, by_ms: int) -> None:
-        """Shift the wall clock of every process by ``by_ms`` milliseconds."""
-        for process in self.world.processes.values():
-            process.wall_offset_ms += by_ms
-
     def set_rate(self, region: str, factor: float) -> None:
         """Set a region's request rate to a multiple of the deployment's usual rate."""
         reducer = self.process(f"client-{region}").reducer
@@ -291,22 +178,6 @@
 
     # Internals ------------------------------------------------------------
 
-    @staticmethod
-    def _is_in(place: str, where: Place) -> bool:
-        return place in (where.zone, where.region)
-
-    def _record_fault(self, kind: str, for_s: float) -> None:
-        now = self.world.now
-        self.journal.disturbances.append(Disturbance(kind, now, now + for_s))
-
-    def _restart(self, name: str) -> None:
-        self.world.restart(self.process(name))
-
-    def _restart_replica(self, entry: ReplicaEntry) -> None:
-        entry.leaving = False
-        entry.turn_cold(self.world.now)
-        self.world.restart(entry.process)
-
     def _skip_refused_versions(self) -> None:
         """Build on the newest version that was not refused, as an operator would."""
         changes = [order for order in self.journal.orders if order.kind == "change"]
--- a/tests/test_membership_propagation.py
+++ b/tests/test_membership_propagation.py
@@ -9,8 +9,13 @@
 from rooklug.membership.timing import TICK_S
 from rooklug.model.internal_events import TopicChanged
 from rooklug.model.topics import CONFIGURATION, ZONES
-from rooklug.wire.generated.control.ttypes import TopicMark, VersionMark, ZonesBody
-from tests.membership_world import World
+from rooklug.wire.generated.control.ttypes import (
+    ConfigurationBody,
+    TopicMark,
+    VersionMark,
+    ZonesBody,
+)
+from tests.membership_world import CORES, World
 from tests.test_distribution_core_link import CoreLinkTestCase
 
 OLD, NEW = VersionMark(3, 1), VersionMark(3, 2)
@@ -73,6 +78,30 @@
         self.assertEqual(behind, [["front-0"]])
         self.assertEqual(self.nodes_behind(world), 1.0)
 
+    def test_a_configuration_is_watched_as_well(self) -> None:
+        world = World(1)
+        world.add_fleet()
+        world.run(8.0)
+        world.commit(b"{}")
+        world.partitioned = {"front-0"}
+        world.run(BEHIND_AFTER_S + TICK_S)
+        behind = [line.fields for line in world.logs[world.primary] if line.level == "warning"]
+        self.assertEqual([line["topic"] for line in behind], [CONFIGURATION])
+
+    def test_a_backup_that_becomes_the_primary_gives_the_nodes_time_to_poll(self) -> None:
+        world = World(1)
+        world.add_fleet()
+        world.run(8.0)
+        world.commit(b"{}")
+        for name in CORES:
+            world.emit(name, world.committed)
+        world.run(BEHIND_AFTER_S + 1.0)
+        world.max_delay_s = 0.2  # a tick comes between a node's first renewal and its poll
+        world.hand_over()
+        world.run(BEHIND_AFTER_S - TICK_S)
+        lines = [line for lines in world.logs.values() for line in lines]
+        self.assertEqual([line for line in lines if "newest state" in line.message], [])
+
     def nodes_behind(self, world: World) -> float:
         process = world.processes[world.primary]
         samples = process.reducer.metrics(world.now(process))
@@ -88,6 +117,15 @@
             [("drained zones applied", {"zones": ["north-a"], "epoch": 3, "counter": 2})],
         )
 
+    def test_an_applied_configuration_is_logged_with_its_version(self) -> None:
+        body = ConfigurationBody(2, "", b'{"version":2,"routes":[],"services":[]}')
+        effects = GatewayViewBuilder().handle(TopicChanged(CONFIGURATION, NEW, body), 1.0)
+        lines = [effect for effect in effects if isinstance(effect, fx.Log)]
+        self.assertEqual(
+            [(line.level, line.message, line.fields) for line in lines],
+            [("info", "configuration applied", {"version": 2, "epoch": 3})],
+        )
+
 
 class LinkLog(CoreLinkTestCase):
     """A node's own account of its link to the core."""
