tests: the processes of the membership world stand apart from the world

Change: membership_processes.py has the stand-ins and processes, membership_world.py time, delivery, faults and invariants.

--- a/tests/test_distribution_core_link.py
+++ b/tests/test_distribution_core_link.py
@@ -22,7 +22,7 @@
 from rooklug.wire.codec import encode
 from rooklug.wire.generated.control import ttypes
 from rooklug.wire.generated.control.ttypes import RoleGrant, TopicUpdate, VersionMark
-from tests.membership_world import node_settings
+from tests.membership_processes import node_settings
 
 SEEDS = ("core-a:1", "core-b:1", "core-c:1")
 GRANT = RoleGrant(ROLE_PLACER, VersionMark(3, 1), 3000)
