--- a/tests/core_faults.py
+++ b/tests/core_faults.py
@@ -214,11 +214,13 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("first", type=int)
     parser.add_argument("last", type=int)
+    parser.add_argument("--replacements", action="store_true", help="machines are replaced, too")
     options = parser.parse_args()
+    kind = Replacements if options.replacements else Faults
     broken, acknowledged = 0, 0
     for seed in range(options.first, options.last + 1):
         try:
-            oracle, _ = run_seed(seed)
+            oracle, _ = run_seed(seed, kind=kind)
             acknowledged += len(oracle.acknowledged)
         except BrokenGuaranteeError as problem:
             broken += 1
